--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -1,7 +1,6 @@
 //! Hosts roadyard controllers on the wire: one batch of events in, one reply of actions out.
 #![forbid(unsafe_code)]
 
-mod settings;
 mod wire;
 
 use std::io::{self, BufRead, BufWriter, Write};
