--- /dev/null
+++ b/proxy/src/engine.rs
@@ -0,0 +1,543 @@
+//! The rules of a call, whatever wire it came by. Sans I/O: inputs with the time go in, outputs come out.
+//!
+//! The [`Controller`] decides; the engine keeps the call table and sees to it that a call gets one final
+//! answer, has one attempt out at most, is answered in time, waits for its release, and that nothing goes
+//! to a server that drains.
+
+use crate::limits::Limits;
+use roadyard::{
+    Action, CallId, Controller, Entry, Event, ListKind, NewCall, Outcome, Place, Reason, Report, ServerId,
+    State, Time,
+};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::rc::Rc;
+
+/// What a call carries and the engine never looks into.
+pub type Payload = Rc<[u8]>;
+/// A connection or socket that calls come from.
+pub type Source = u64;
+
+/// Cause of an ordinary end (Q.850).
+pub const CAUSE_NORMAL: u8 = 16;
+/// Cause of a cut call (Q.850: temporary failure).
+pub const CAUSE_CUT: u8 = 41;
+
+/// A call as a front hands it over.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub id: CallId,
+    pub source: Source,
+    /// When it had come whole.
+    pub at: Time,
+    /// How long the caller waits, from `at`.
+    pub patience: Time,
+    pub class: usize,
+    pub tenant: Option<usize>,
+    pub number: String,
+    pub first_choice: Option<Place>,
+    pub units: f64,
+    pub redialled: bool,
+    pub cut_before: bool,
+    pub payload: Payload,
+}
+
+/// How an attempt that never stood has ended.
+#[derive(Clone, Debug)]
+pub struct End {
+    pub outcome: Outcome,
+    pub reason: Option<Reason>,
+    pub wait: Option<Time>,
+    pub report: Option<Report>,
+}
+
+impl End {
+    /// An end that tells nothing more.
+    pub fn plain(outcome: Outcome) -> Self {
+        End { outcome, reason: None, wait: None, report: None }
+    }
+}
+
+/// What fronts and backends tell the engine.
+#[derive(Debug)]
+pub enum Input {
+    Call(Request),
+    /// The caller gave the set-up up, or released the call that stands.
+    Left(CallId),
+    /// A caller's connection is gone.
+    SourceGone(Source),
+    Stood {
+        id: CallId,
+        attempt: u32,
+        server: ServerId,
+        payload: Payload,
+    },
+    Ended {
+        id: CallId,
+        attempt: u32,
+        server: ServerId,
+        end: End,
+    },
+    /// A server released a call that stood.
+    Over {
+        id: CallId,
+        server: ServerId,
+        cause: u8,
+        report: Option<Report>,
+    },
+    Room(ServerId, Report),
+    /// A server's process is gone, and its calls with it.
+    Died(ServerId),
+    List(ListKind, Vec<Entry>),
+    /// Answer everything by then.
+    Stop(Time),
+}
+
+/// A final answer, or what follows one.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    Stands(Payload),
+    /// Turned away; come back after the wait.
+    Refused(Option<Time>),
+    Failed,
+    /// What stood is over.
+    Over(u8),
+    /// The caller's own release was heard.
+    Heard,
+}
+
+/// A set-up on its way to a server.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub id: CallId,
+    pub attempt: u32,
+    pub class: usize,
+    pub number: String,
+    /// How long the engine will wait.
+    pub patience: Time,
+    pub payload: Payload,
+}
+
+/// What a server's link is told.
+#[derive(Clone, Debug)]
+pub enum Order {
+    Start(Setup),
+    /// The attempt is given up.
+    Cancel(CallId),
+    /// A call that stands is released.
+    Release(CallId, u8),
+    /// Nothing new may go out; what is queued ends as not sent.
+    Drain,
+}
+
+/// What the engine wants done.
+#[derive(Debug)]
+pub enum Output {
+    /// To a caller; without a source, on any connection from callers.
+    Reply(Option<Source>, CallId, Reply),
+    Order(ServerId, Order),
+    Log(String),
+}
+
+enum Stage {
+    Open { deadline: Time, out: Option<(u32, ServerId, Time)>, attempts: u32, not_before: Time },
+    Stands { attempt: u32, server: ServerId, since: Time },
+}
+
+struct Call {
+    source: Source,
+    class: usize,
+    number: String,
+    payload: Payload,
+    stage: Stage,
+}
+
+/// The ids of calls that have ended here, the oldest forgotten first.
+struct Ended {
+    ids: HashSet<CallId>,
+    order: VecDeque<CallId>,
+    most: usize,
+}
+
+impl Ended {
+    fn add(&mut self, id: CallId) -> bool {
+        if !self.ids.insert(id) {
+            return false;
+        }
+        self.order.push_back(id);
+        if self.order.len() > self.most
+            && let Some(old) = self.order.pop_front()
+        {
+            self.ids.remove(&old);
+        }
+        true
+    }
+}
+
+/// One controller, its calls and its rules.
+pub struct Engine {
+    controller: Controller,
+    attempt_limit: u32,
+    release_wait: Time,
+    hold_off: Option<Time>,
+    margin: Time,
+    now: Time,
+    calls: HashMap<CallId, Call>,
+    ended: Ended,
+    timers: BTreeSet<(Time, u64)>,
+    deadlines: BTreeSet<(Time, CallId)>,
+    servers: BTreeMap<ServerId, (State, Option<Time>)>,
+    stop_at: Option<Time>,
+}
+
+impl Engine {
+    pub fn new(settings: roadyard::Settings, seed: u64, limits: &Limits) -> Self {
+        Engine {
+            attempt_limit: settings.attempt_limit,
+            release_wait: settings.release_wait,
+            hold_off: settings.max_hold_off,
+            margin: limits.margin,
+            controller: Controller::new(settings, seed),
+            now: 0,
+            calls: HashMap::new(),
+            ended: Ended { ids: HashSet::new(), order: VecDeque::new(), most: limits.remembered },
+            timers: BTreeSet::new(),
+            deadlines: BTreeSet::new(),
+            servers: BTreeMap::new(),
+            stop_at: None,
+        }
+    }
+
+    /// When `handle_due` wants to be called next.
+    pub fn due(&self) -> Option<Time> {
+        let timer = self.timers.first().map(|t| t.0);
+        let deadline = self.deadlines.first().map(|t| t.0);
+        timer.into_iter().chain(deadline).min()
+    }
+
+    /// Set-ups that have no final answer yet.
+    pub fn open(&self) -> usize {
+        self.deadlines.len()
+    }
+
+    /// Carries out what is due by now.
+    pub fn handle_due(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        while let Some((at, id)) = self.deadlines.first().copied().filter(|d| d.0 <= self.now) {
+            self.deadlines.remove(&(at, id));
+            self.overdue(id, out);
+        }
+        while let Some(timer) = self.timers.first().copied().filter(|t| t.0 <= self.now) {
+            self.timers.remove(&timer);
+            self.tell(Event::Timer(timer.1), out);
+        }
+    }
+
+    /// Takes one input.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::Call(request) => self.call(request, out),
+            Input::Left(id) => self.left(id, out),
+            Input::SourceGone(source) => {
+                let open = |c: &Call| c.source == source && matches!(c.stage, Stage::Open { .. });
+                let mut gone: Vec<CallId> =
+                    self.calls.iter().filter(|(_, c)| open(c)).map(|(id, _)| *id).collect();
+                gone.sort_unstable();
+                for id in gone {
+                    self.left(id, out);
+                }
+            }
+            Input::Stood { id, attempt, server, payload } => self.stood(id, attempt, server, payload, out),
+            Input::Ended { id, attempt, server, end } => self.attempt_ended(id, attempt, server, end, out),
+            Input::Over { id, server, cause, report } => self.over(id, server, cause, report, out),
+            Input::Room(server, report) => self.tell(Event::Room(server, report), out),
+            Input::Died(server) => self.cut_all(|at, _| at == server, out),
+            Input::List(kind, entries) => self.list(kind, entries, out),
+            Input::Stop(at) => self.stop(at),
+        }
+    }
+
+    fn call(&mut self, r: Request, out: &mut Vec<Output>) {
+        // Guards against a repeated id: its first set-up has the one answer that is owed.
+        if self.calls.contains_key(&r.id) {
+            return;
+        }
+        let gives_up = r.at.saturating_add(r.patience);
+        let mut deadline = gives_up.saturating_sub(self.margin);
+        if let Some(stop) = self.stop_at {
+            deadline = deadline.min(stop);
+        }
+        self.deadlines.insert((deadline, r.id));
+        let stage = Stage::Open { deadline, out: None, attempts: 0, not_before: 0 };
+        let call =
+            Call { source: r.source, class: r.class, number: r.number.clone(), payload: r.payload, stage };
+        self.calls.insert(r.id, call);
+        let new = NewCall {
+            call: r.id,
+            class: r.class,
+            number: r.number,
+            tenant: r.tenant,
+            first_choice: r.first_choice,
+            expires_in: deadline.saturating_sub(self.now),
+            units: r.units,
+            redialled: r.redialled,
+            in_transit: false,
+            cut_before: r.cut_before,
+        };
+        self.tell(Event::Call(new), out);
+    }
+
+    /// A caller that leaves is owed nothing. What it leaves behind at a server is given up or released.
+    fn left(&mut self, id: CallId, out: &mut Vec<Output>) {
+        let Some(call) = self.calls.remove(&id) else { return };
+        self.ended.add(id);
+        match call.stage {
+            Stage::Open { deadline, out: attempt, .. } => {
+                self.deadlines.remove(&(deadline, id));
+                if let Some((_, server, _)) = attempt {
+                    out.push(Output::Order(server, Order::Cancel(id)));
+                }
+                self.tell(Event::Left(id), out);
+            }
+            Stage::Stands { attempt, server, .. } => {
+                out.push(Output::Order(server, Order::Release(id, CAUSE_NORMAL)));
+                out.push(Output::Reply(Some(call.source), id, Reply::Heard));
+                self.tell(finished(id, attempt, server, Outcome::Cancelled, None), out);
+            }
+        }
+    }
+
+    fn stood(&mut self, id: CallId, attempt: u32, server: ServerId, payload: Payload, out: &mut Vec<Output>) {
+        let now = self.now;
+        let call = self.calls.get_mut(&id);
+        let sent = call.as_ref().and_then(|c| match c.stage {
+            Stage::Open { out: Some((n, at, sent)), deadline, .. } if n == attempt && at == server => {
+                Some((sent, deadline))
+            }
+            _ => None,
+        });
+        let (Some(call), Some((sent, deadline))) = (call, sent) else {
+            // Guards against an answer that crossed the end of its attempt: the call stands nowhere else.
+            out.push(Output::Order(server, Order::Release(id, CAUSE_NORMAL)));
+            return;
+        };
+        call.stage = Stage::Stands { attempt, server, since: now };
+        self.deadlines.remove(&(deadline, id));
+        out.push(Output::Reply(Some(call.source), id, Reply::Stands(payload)));
+        self.tell(Event::Stood { call: id, attempt, server, elapsed: now.saturating_sub(sent) }, out);
+    }
+
+    fn attempt_ended(&mut self, id: CallId, attempt: u32, server: ServerId, end: End, out: &mut Vec<Output>) {
+        if let Some(event) = self.end_attempt(id, attempt, server, end) {
+            self.tell(event, out);
+        }
+    }
+
+    /// Takes an attempt off the table, once.
+    fn end_attempt(&mut self, id: CallId, attempt: u32, server: ServerId, end: End) -> Option<Event> {
+        let now = self.now;
+        let Stage::Open { out, not_before, .. } = &mut self.calls.get_mut(&id)?.stage else { return None };
+        out.take_if(|(n, at, _)| *n == attempt && *at == server)?;
+        if matches!(end.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
+            *not_before = now + self.release_wait;
+        }
+        let End { outcome, reason, wait, report } = end;
+        Some(Event::Ended { call: id, attempt, server, outcome, finished: false, reason, wait, report })
+    }
+
+    /// A server released a call. It may say so twice, and of calls from before this program's start.
+    fn over(
+        &mut self,
+        id: CallId,
+        server: ServerId,
+        cause: u8,
+        report: Option<Report>,
+        out: &mut Vec<Output>,
+    ) {
+        match self.calls.get(&id).map(|c| (c.source, &c.stage)) {
+            Some((source, Stage::Stands { attempt, server: at, .. })) if *at == server => {
+                let outcome = if cause == CAUSE_CUT { Outcome::Reset } else { Outcome::Done };
+                let event = finished(id, *attempt, server, outcome, report);
+                self.calls.remove(&id);
+                self.ended.add(id);
+                out.push(Output::Reply(Some(source), id, Reply::Over(cause)));
+                self.tell(event, out);
+            }
+            Some(_) => {}
+            // Unknown: it stood before this program started. Passed on once.
+            None => {
+                if self.ended.add(id) {
+                    out.push(Output::Reply(None, id, Reply::Over(cause)));
+                }
+            }
+        }
+    }
+
+    /// The calls that stand at a server whose process is gone are over, and nobody else will say so.
+    fn cut_all(&mut self, gone: impl Fn(ServerId, Time) -> bool, out: &mut Vec<Output>) {
+        let mut cut: Vec<(CallId, ServerId)> = Vec::new();
+        for (id, call) in &self.calls {
+            if let Stage::Stands { server, since, .. } = call.stage
+                && gone(server, since)
+            {
+                cut.push((*id, server));
+            }
+        }
+        cut.sort_unstable();
+        for (id, server) in cut {
+            self.over(id, server, CAUSE_CUT, None, out);
+        }
+    }
+
+    fn list(&mut self, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Output>) {
+        let mut cut: BTreeMap<ServerId, Time> = BTreeMap::new();
+        if matches!(kind, ListKind::Whole | ListKind::Saved) {
+            let listed: BTreeSet<ServerId> = entries.iter().map(|e| e.server).collect();
+            for (id, known) in self.servers.iter_mut().filter(|(id, _)| !listed.contains(id)) {
+                known.0 = State::Gone;
+                cut.insert(*id, Time::MAX);
+                out.push(Output::Order(*id, Order::Drain));
+            }
+        }
+        for e in &entries {
+            let before = self.servers.insert(e.server, (e.state, e.started));
+            if e.state != State::Ready {
+                out.push(Output::Order(e.server, Order::Drain));
+            }
+            match (e.state, e.started) {
+                (State::Gone, _) => {
+                    cut.insert(e.server, Time::MAX);
+                }
+                // Started anew: what stood there before is over.
+                (_, Some(at)) if before.is_some_and(|b| b.1 < Some(at)) => {
+                    cut.insert(e.server, at);
+                }
+                _ => {}
+            }
+        }
+        self.cut_all(|server, since| cut.get(&server).is_some_and(|until| since < *until), out);
+        self.tell(Event::List(kind, entries), out);
+    }
+
+    /// From now on no call may wait past `at`.
+    fn stop(&mut self, at: Time) {
+        self.stop_at = Some(at);
+        let late: Vec<(Time, CallId)> = self.deadlines.iter().copied().filter(|d| d.0 > at).collect();
+        for old in late {
+            self.deadlines.remove(&old);
+            self.deadlines.insert((at, old.1));
+            if let Some(Call { stage: Stage::Open { deadline, .. }, .. }) = self.calls.get_mut(&old.1) {
+                *deadline = at;
+            }
+        }
+    }
+
+    /// The deadline of a call: its attempt has timed out, and if the controller does not answer, the engine
+    /// does. Guards the one final answer whatever the controller holds.
+    fn overdue(&mut self, id: CallId, out: &mut Vec<Output>) {
+        let Some(Call { stage: Stage::Open { out: attempt, .. }, .. }) = self.calls.get(&id) else { return };
+        if let Some((n, server, _)) = *attempt {
+            out.push(Output::Order(server, Order::Cancel(id)));
+            self.attempt_ended(id, n, server, End::plain(Outcome::Timeout), out);
+        }
+        if self.calls.contains_key(&id) {
+            self.answer(id, Reply::Refused(self.hold_off), out);
+            self.tell(Event::Left(id), out);
+        }
+    }
+
+    /// The one final answer of a call that does not stand.
+    fn answer(&mut self, id: CallId, reply: Reply, out: &mut Vec<Output>) {
+        let Some(Call { source, stage: Stage::Open { deadline, out: attempt, .. }, .. }) =
+            self.calls.get(&id)
+        else {
+            return;
+        };
+        self.deadlines.remove(&(*deadline, id));
+        if let Some((_, server, _)) = attempt {
+            out.push(Output::Order(*server, Order::Cancel(id)));
+        }
+        out.push(Output::Reply(Some(*source), id, reply));
+        self.calls.remove(&id);
+        self.ended.add(id);
+    }
+
+    /// Hands an event to the controller and carries out what it wants, and what follows from that.
+    fn tell(&mut self, event: Event, out: &mut Vec<Output>) {
+        let mut events = VecDeque::from([event]);
+        let mut actions = Vec::new();
+        while let Some(event) = events.pop_front() {
+            self.controller.handle(self.now, event, &mut actions);
+            for action in std::mem::take(&mut actions) {
+                events.extend(self.carry_out(action, out));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action, out: &mut Vec<Output>) -> Option<Event> {
+        match action {
+            Action::Start { call, server, .. } => return self.start(call, server, out),
+            Action::Cancel { call, attempt } => {
+                let Stage::Open { out: Some((n, server, _)), .. } = self.calls.get(&call)?.stage else {
+                    return None;
+                };
+                if n == attempt {
+                    out.push(Output::Order(server, Order::Cancel(call)));
+                    return self.end_attempt(call, attempt, server, End::plain(Outcome::Cancelled));
+                }
+            }
+            Action::Refuse { call, hold_off } => self.answer(call, Reply::Refused(hold_off), out),
+            Action::Fail(call) => self.answer(call, Reply::Failed, out),
+            Action::Timer { at, token } => {
+                self.timers.insert((at, token));
+            }
+            Action::Log(text) => out.push(Output::Log(text)),
+            // Neither probes nor messages to other proxies exist here, and the list comes unasked.
+            Action::Probe(_) | Action::Tell(..) | Action::WatchList => {}
+        }
+        None
+    }
+
+    /// Sends an attempt out if the rules allow it, else ends it as never sent.
+    fn start(&mut self, id: CallId, server: ServerId, out: &mut Vec<Output>) -> Option<Event> {
+        let ready = self.servers.get(&server).is_some_and(|s| s.0 == State::Ready);
+        let now = self.now;
+        let call = self.calls.get_mut(&id)?;
+        let Stage::Open { deadline, out: attempt, attempts, not_before } = &mut call.stage else {
+            return None;
+        };
+        if attempt.is_some() {
+            return None;
+        }
+        let n = *attempts;
+        *attempts += 1;
+        if !ready || n >= self.attempt_limit || now < *not_before || now >= *deadline {
+            return Some(Event::Ended {
+                call: id,
+                attempt: n,
+                server,
+                outcome: Outcome::NotSent,
+                finished: false,
+                reason: None,
+                wait: None,
+                report: None,
+            });
+        }
+        *attempt = Some((n, server, now));
+        let setup = Setup {
+            id,
+            attempt: n,
+            class: call.class,
+            number: call.number.clone(),
+            patience: *deadline - now,
+            payload: call.payload.clone(),
+        };
+        out.push(Output::Order(server, Order::Start(setup)));
+        None
+    }
+}
+
+/// The end of a call that stood.
+fn finished(id: CallId, attempt: u32, server: ServerId, outcome: Outcome, report: Option<Report>) -> Event {
+    Event::Ended { call: id, attempt, server, outcome, finished: true, reason: None, wait: None, report }
+}
--- /dev/null
+++ b/proxy/src/feed.rs
@@ -0,0 +1,134 @@
+//! The command channel: numbered events of the list of servers, one JSON object a line.
+
+use crate::hub::{ListedServer, Message};
+use crate::limits::Limits;
+use crate::net::{Decode, WireError, messages, within, write_all};
+use async_channel::Sender;
+use async_io::{Async, Timer};
+use futures_lite::{StreamExt, pin};
+use roadyard::{Entry, ListKind, State};
+use roadyard_settings::json::{self, Value};
+use std::net::{SocketAddr, TcpStream};
+
+/// One event: its number and what it says.
+#[derive(Debug)]
+pub struct ListEvent {
+    pub cursor: u64,
+    pub kind: ListKind,
+    pub servers: Vec<ListedServer>,
+}
+
+/// A line of the channel.
+#[derive(Debug)]
+pub enum Line {
+    Event(ListEvent),
+    /// The number of the last event, said every second.
+    Last(u64),
+}
+
+/// Reads one event. `zones` gives the zones their numbers.
+pub fn event(v: &Value, zones: &[String]) -> Result<ListEvent, String> {
+    let cursor = json::need(v, "cursor", json::whole)?;
+    let whole = json::maybe(v, "nodes.full", json::flag)?.unwrap_or(cursor == 1);
+    let mut servers = Vec::new();
+    for s in json::maybe(v, "nodes.servers", json::array)?.unwrap_or_default() {
+        let zone = json::maybe(s, "zone", json::text)?;
+        let started = json::maybe(s, "started_ms", json::span)?.filter(|ms| *ms > 0);
+        let entry = Entry {
+            server: 0,
+            zone: zone.and_then(|z| zones.iter().position(|n| n == z)).map_or(0, |i| i as u32),
+            place: json::need(s, "cell", json::place)?,
+            started: started.map(|ms| ms.saturating_mul(1000)),
+            state: json::need(s, "state", |v| match json::text(v)? {
+                "SERVING" => Some(State::Ready),
+                "DRAINING" => Some(State::Draining),
+                "DELETED" => Some(State::Gone),
+                _ => None,
+            })?,
+        };
+        // What has gone needs no address.
+        let addr = json::maybe(s, "addr", json::word)?.unwrap_or_default();
+        servers.push(ListedServer { id: json::need(s, "id", json::word)?, addr, entry });
+    }
+    Ok(ListEvent { cursor, kind: if whole { ListKind::Whole } else { ListKind::Changes }, servers })
+}
+
+/// Cuts the channel into lines.
+struct Lines {
+    most: usize,
+    zones: Vec<String>,
+}
+
+impl Decode for Lines {
+    type Message = Line;
+
+    fn decode(&mut self, bytes: &[u8]) -> Result<Option<(Line, usize)>, WireError> {
+        let Some(end) = bytes.iter().position(|b| *b == b'\n') else {
+            return if bytes.len() > self.most { Err(WireError::TooLong) } else { Ok(None) };
+        };
+        let text = std::str::from_utf8(&bytes[..end]).map_err(|_| WireError::Malformed("line is no text"))?;
+        let line = match text.trim().parse() {
+            Ok(last) => Line::Last(last),
+            Err(_) => {
+                let value = json::parse(text).map_err(|_| WireError::Malformed("line is no JSON"))?;
+                let event = event(&value, &self.zones).map_err(|e| {
+                    eprintln!("command channel: {e}");
+                    WireError::Malformed("event")
+                })?;
+                Line::Event(event)
+            }
+        };
+        Ok(Some((line, end + 1)))
+    }
+}
+
+/// The command channel of one proxy.
+pub struct Feed {
+    pub addr: SocketAddr,
+    pub zones: Vec<String>,
+    pub limits: Limits,
+    pub core: Sender<Message>,
+    /// Number of the last event that is known.
+    pub last: u64,
+}
+
+impl Feed {
+    /// Follows the channel for ever, from the last known event on.
+    pub async fn run(mut self) {
+        loop {
+            if let Err(e) = self.follow().await {
+                eprintln!("command channel: {e}");
+            }
+            Timer::after(self.limits.reconnect).await;
+        }
+    }
+
+    async fn follow(&mut self) -> Result<(), WireError> {
+        let silent = || WireError::Io(std::io::ErrorKind::TimedOut.into());
+        let connect = Async::<TcpStream>::connect(self.addr);
+        let stream = within(self.limits.feed_silence, connect).await.ok_or_else(silent)??;
+        let _ = stream.get_ref().set_nodelay(true);
+        write_all(&stream, format!("resume {}\n", self.last).as_bytes(), self.limits.write).await?;
+        // A line holds a whole list, so its limit is its own.
+        let lines = Lines { most: 64 * self.limits.message, zones: self.zones.clone() };
+        let lines = messages(&stream, lines, self.limits.read);
+        pin!(lines);
+        while let Some(line) = within(self.limits.feed_silence, lines.next()).await.ok_or_else(silent)? {
+            match line? {
+                // Guards against events that were lost on the way: ask again from the last one.
+                Line::Last(last) if last > self.last => return Err(WireError::Malformed("events missing")),
+                Line::Event(e) if e.cursor > self.last + 1 => {
+                    return Err(WireError::Malformed("gap in the events"));
+                }
+                Line::Event(e) if e.cursor == self.last + 1 => {
+                    self.last = e.cursor;
+                    if self.core.send(Message::List(e.kind, e.servers)).await.is_err() {
+                        return Ok(());
+                    }
+                }
+                Line::Last(_) | Line::Event(_) => {}
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/proxy/src/hub.rs
@@ -0,0 +1,197 @@
+//! The one task that owns the engine. Sockets reach it by a bounded queue; it waits for nothing else but
+//! its own next timer, and what does not fit into another task's queue is that task's trouble.
+
+use crate::engine::{End, Engine, Input, Order, Output, Reply, Source};
+use crate::limits::Limits;
+use crate::net::unix_now;
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::future;
+use roadyard::{CallId, Entry, ListKind, Outcome, ServerId, State, Time};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+
+/// A server as a list names it.
+#[derive(Clone, Debug)]
+pub struct ListedServer {
+    pub id: String,
+    pub addr: String,
+    /// Everything the module is told, but for the number, which the core gives.
+    pub entry: Entry,
+}
+
+/// What reaches the core.
+#[derive(Debug)]
+pub enum Message {
+    Input(Input),
+    /// A caller's connection, and where its replies go.
+    Open(Source, Sender<(CallId, Reply)>),
+    List(ListKind, Vec<ListedServer>),
+    /// SIGTERM.
+    Stop,
+}
+
+/// Opens the link to a server. One implementation per wire.
+pub trait Backend {
+    fn open(&self, server: ServerId, addr: &str, core: Sender<Message>) -> Sender<Order>;
+}
+
+struct Link {
+    addr: String,
+    orders: Sender<Order>,
+}
+
+/// The core's view of fronts and backends.
+pub struct Core<B> {
+    engine: Engine,
+    backend: B,
+    limits: Limits,
+    queue: Sender<Message>,
+    numbers: BTreeMap<String, ServerId>,
+    links: BTreeMap<ServerId, Link>,
+    callers: HashMap<Source, Sender<(CallId, Reply)>>,
+    /// The connection opened last, for what belongs to none.
+    newest: Option<Source>,
+    undelivered: VecDeque<(CallId, Reply)>,
+}
+
+impl<B: Backend> Core<B> {
+    pub fn new(engine: Engine, backend: B, limits: Limits, queue: Sender<Message>) -> Self {
+        Core {
+            engine,
+            backend,
+            limits,
+            queue,
+            numbers: BTreeMap::new(),
+            links: BTreeMap::new(),
+            callers: HashMap::new(),
+            newest: None,
+            undelivered: VecDeque::new(),
+        }
+    }
+
+    /// Serves until it is told to stop and nothing is left to answer.
+    pub async fn run(mut self, messages: Receiver<Message>) {
+        let mut grace: Option<Time> = None;
+        loop {
+            let due = self.engine.due().into_iter().chain(grace).min();
+            let wait = due.map(|at| Duration::from_micros(at.saturating_sub(unix_now())));
+            let message = future::or(async { messages.recv().await.ok() }, async {
+                match wait {
+                    Some(wait) => Timer::after(wait).await,
+                    None => future::pending().await,
+                };
+                None
+            })
+            .await;
+            let now = unix_now();
+            let mut out = Vec::new();
+            self.engine.handle_due(now, &mut out);
+            match message {
+                Some(Message::Input(input)) => {
+                    if let Input::SourceGone(source) = input {
+                        self.callers.remove(&source);
+                    }
+                    self.engine.handle(now, input, &mut out);
+                }
+                Some(Message::Open(source, replies)) => self.caller_opened(source, replies),
+                Some(Message::List(kind, servers)) => self.list(now, kind, servers, &mut out),
+                Some(Message::Stop) => {
+                    self.engine.handle(now, Input::Stop(now + self.limits.stop), &mut out);
+                    grace = Some(now + self.limits.grace);
+                }
+                None => {}
+            }
+            self.carry_out(now, out);
+            if grace.is_some_and(|at| now >= at) {
+                if self.engine.open() == 0 {
+                    return;
+                }
+                grace = Some(now + 10_000);
+            }
+        }
+    }
+
+    fn caller_opened(&mut self, source: Source, replies: Sender<(CallId, Reply)>) {
+        while let Some(reply) = self.undelivered.pop_front() {
+            if let Err(back) = replies.try_send(reply) {
+                self.undelivered.push_front(back.into_inner());
+                break;
+            }
+        }
+        self.newest = Some(source);
+        self.callers.insert(source, replies);
+    }
+
+    fn list(&mut self, now: Time, kind: ListKind, servers: Vec<ListedServer>, out: &mut Vec<Output>) {
+        let mut entries = Vec::new();
+        for listed in servers {
+            let next = self.numbers.len() as ServerId;
+            let number = *self.numbers.entry(listed.id).or_insert(next);
+            let entry = Entry { server: number, ..listed.entry };
+            // An id is a server; an address is not: it may have another server's name by now.
+            let moved = self.links.get(&number).is_some_and(|l| l.addr != listed.addr);
+            if moved || entry.state == State::Gone {
+                self.links.remove(&number);
+            }
+            if entry.state != State::Gone && !self.links.contains_key(&number) {
+                let orders = self.backend.open(number, &listed.addr, self.queue.clone());
+                self.links.insert(number, Link { addr: listed.addr, orders });
+            }
+            entries.push(entry);
+        }
+        if kind != ListKind::Changes {
+            self.links.retain(|number, _| entries.iter().any(|e| e.server == *number));
+        }
+        self.engine.handle(now, Input::List(kind, entries), out);
+    }
+
+    fn carry_out(&mut self, now: Time, out: Vec<Output>) {
+        let mut todo = VecDeque::from(out);
+        while let Some(output) = todo.pop_front() {
+            match output {
+                Output::Reply(source, id, reply) => self.reply(source, id, reply),
+                Output::Order(server, order) => {
+                    let lost = match self.links.get(&server) {
+                        Some(link) => link.orders.try_send(order).err().map(|e| e.into_inner()),
+                        None => Some(order),
+                    };
+                    // Guards against a link that is gone or stuck: the attempt never left.
+                    if let Some(Order::Start(setup)) = lost {
+                        let end = End::plain(Outcome::NotSent);
+                        let input = Input::Ended { id: setup.id, attempt: setup.attempt, server, end };
+                        let mut more = Vec::new();
+                        self.engine.handle(now, input, &mut more);
+                        todo.extend(more);
+                    }
+                }
+                Output::Log(text) => eprintln!("{text}"),
+            }
+        }
+    }
+
+    /// What follows a call that stood may go on any connection; an answer has only its own.
+    fn reply(&mut self, source: Option<Source>, id: CallId, reply: Reply) {
+        let anywhere = matches!(reply, Reply::Over(_));
+        let own = source.filter(|s| self.callers.contains_key(s));
+        let at = match anywhere {
+            true => own.or(self.newest.filter(|s| self.callers.contains_key(s))),
+            false => own,
+        };
+        let at = at.or_else(|| self.callers.keys().max().copied().filter(|_| anywhere));
+        let lost = match at.and_then(|s| self.callers.get(&s).map(|tx| (s, tx))) {
+            Some((s, tx)) => {
+                let lost = tx.try_send((id, reply)).err().map(|e| e.into_inner());
+                // Guards against a caller that does not read: its connection ends, not this program.
+                if lost.is_some() {
+                    self.callers.remove(&s);
+                }
+                lost
+            }
+            None => Some((id, reply)),
+        };
+        if let Some(lost) = lost.filter(|_| anywhere && self.undelivered.len() < self.limits.undelivered) {
+            self.undelivered.push_back(lost);
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/limits.rs
@@ -0,0 +1,66 @@
+//! Every size, count and time of the program, in one place: filled at start and handed down.
+
+use roadyard::Time;
+use std::time::Duration;
+
+/// Times are in microseconds where the engine counts them, else spans for a timer.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Longest message of any wire, in bytes.
+    pub message: usize,
+    /// Bytes asked of a socket at once.
+    pub read: usize,
+    /// Messages that may wait for the engine.
+    pub core_queue: usize,
+    /// Messages that may wait for one connection or one server.
+    pub link_queue: usize,
+    /// Connections held by callers at most.
+    pub caller_conns: usize,
+    /// Connections to one server at most.
+    pub server_conns: usize,
+    /// A connection that is not up by then failed.
+    pub connect: Duration,
+    /// A write that takes longer ends its connection.
+    pub write: Duration,
+    /// A server connection silent for so long after a set-up is passed over for the next.
+    pub quiet: Time,
+    /// Wait before a server or the command channel is connected to again.
+    pub reconnect: Duration,
+    /// Silence after which the command channel is connected to again.
+    pub feed_silence: Duration,
+    /// The engine answers this long before the caller stops waiting.
+    pub margin: Time,
+    /// Ended calls that are remembered.
+    pub remembered: usize,
+    /// Releases kept for callers that have no connection open.
+    pub undelivered: usize,
+    /// New work is still taken this long after SIGTERM.
+    pub grace: Time,
+    /// After SIGTERM everything is answered by then.
+    pub stop: Time,
+}
+
+impl Limits {
+    /// From the platform's figures: descriptors and the longest wait for a connection.
+    pub fn new(sockets: usize, connect: Duration) -> Self {
+        Limits {
+            message: 16 * 1024,
+            read: 16 * 1024,
+            core_queue: 4096,
+            link_queue: 1024,
+            // Callers hold a third by the protocol; as much again is left for servers and spare.
+            caller_conns: (sockets / 2).max(8),
+            server_conns: 4,
+            connect,
+            write: Duration::from_secs(2),
+            quiet: 1_000_000,
+            reconnect: Duration::from_millis(500),
+            feed_silence: Duration::from_secs(3),
+            margin: 20_000,
+            remembered: 50_000,
+            undelivered: 10_000,
+            grace: 700_000,
+            stop: 3_300_000,
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/sip/link.rs
@@ -0,0 +1,408 @@
+//! The link to one setup server: a few connections, the set-ups on them, and those that wait for one.
+
+use super::*;
+use crate::engine::{CAUSE_NORMAL, End, Input, Order};
+use crate::hub::{self, Backend};
+use crate::limits::Limits;
+use crate::net::{messages, unix_now, within, write_all};
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::{StreamExt, future, pin};
+use roadyard::{Outcome, Reason, ServerId, Time};
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+/// What all links share.
+pub struct Setups {
+    pub classes: Vec<String>,
+    /// Whether a full processor states a wait.
+    pub gives_wait: bool,
+    pub limits: Limits,
+    pub executor: Rc<LocalExecutor<'static>>,
+}
+
+impl Backend for Rc<Setups> {
+    fn open(&self, server: ServerId, addr: &str, core: Sender<hub::Message>) -> Sender<Order> {
+        let (orders, to_do) = async_channel::bounded(self.limits.link_queue);
+        let Ok(addr) = addr.parse() else {
+            eprintln!("server {server}: no address: {addr}");
+            return orders;
+        };
+        let (tell, told) = async_channel::bounded(self.limits.link_queue);
+        let link = Link {
+            shared: self.clone(),
+            server,
+            addr,
+            core,
+            tell,
+            conns: BTreeMap::new(),
+            next: 0,
+            queue: VecDeque::new(),
+            setups: BTreeMap::new(),
+            connect_at: Some(unix_now()),
+            draining: false,
+        };
+        self.executor.spawn(link.run(to_do, told)).detach();
+        orders
+    }
+}
+
+/// What a connection tells its link.
+enum Told {
+    Up,
+    Failed(io::ErrorKind),
+    Message(Message),
+    Closed,
+}
+
+struct Conn {
+    write: Sender<Vec<u8>>,
+    up: bool,
+    heard: Time,
+    /// When the first set-up went out since it was heard last.
+    asked: Option<Time>,
+}
+
+/// A set-up that is on a connection.
+struct Out {
+    conn: u64,
+    attempt: u32,
+    number: String,
+}
+
+struct Link {
+    shared: Rc<Setups>,
+    server: ServerId,
+    addr: SocketAddr,
+    core: Sender<hub::Message>,
+    tell: Sender<(u64, Told)>,
+    conns: BTreeMap<u64, Conn>,
+    next: u64,
+    queue: VecDeque<Setup>,
+    setups: BTreeMap<CallId, Out>,
+    /// When to connect again, while there is no connection.
+    connect_at: Option<Time>,
+    draining: bool,
+}
+
+enum Next {
+    Order(Order),
+    Told(u64, Told),
+    Connect,
+    End,
+}
+
+impl Link {
+    /// Serves until the core drops its sender: the server is gone, or has moved.
+    async fn run(mut self, orders: Receiver<Order>, told: Receiver<(u64, Told)>) {
+        loop {
+            let wait = self.connect_at.map(|at| at.saturating_sub(unix_now()));
+            let next = future::or(
+                async { orders.recv().await.map_or(Next::End, Next::Order) },
+                future::or(async { told.recv().await.map_or(Next::End, |(c, t)| Next::Told(c, t)) }, async {
+                    match wait {
+                        Some(us) => Timer::after(std::time::Duration::from_micros(us)).await,
+                        None => future::pending().await,
+                    };
+                    Next::Connect
+                }),
+            )
+            .await;
+            let inputs = match next {
+                Next::Order(order) => self.order(order),
+                Next::Told(conn, told) => self.told(conn, told),
+                Next::Connect => {
+                    self.connect_at = None;
+                    if self.conns.is_empty() {
+                        self.connect();
+                    }
+                    Vec::new()
+                }
+                Next::End => break,
+            };
+            self.report(inputs).await;
+        }
+        // What is still out goes with the connections, and what is queued never left.
+        let mut inputs = self.fail_queue(Outcome::NotSent);
+        let open: Vec<u64> = self.conns.keys().copied().collect();
+        for conn in open {
+            inputs.extend(self.lose(conn));
+        }
+        self.report(inputs).await;
+    }
+
+    async fn report(&self, inputs: Vec<Input>) {
+        for input in inputs {
+            if self.core.send(hub::Message::Input(input)).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn order(&mut self, order: Order) -> Vec<Input> {
+        match order {
+            Order::Start(setup) => self.start(setup),
+            Order::Cancel(call) => {
+                self.queue.retain(|s| s.id != call);
+                if let Some(out) = self.setups.remove(&call) {
+                    self.write(out.conn, follow_up("CANCEL", &out.number, call, out.attempt + 1, ""));
+                }
+                Vec::new()
+            }
+            Order::Release(call, cause) => {
+                if let Some(conn) = self.best() {
+                    self.write(conn, bye(call, cause));
+                }
+                Vec::new()
+            }
+            Order::Drain => {
+                // Guards against a set-up that a slow connect would let out after the drain was told.
+                self.draining = true;
+                self.fail_queue(Outcome::NotSent)
+            }
+        }
+    }
+
+    /// The connection heard last.
+    fn best(&self) -> Option<u64> {
+        self.conns.iter().filter(|(_, c)| c.up).max_by_key(|(_, c)| c.heard).map(|(id, _)| *id)
+    }
+
+    /// Sends at once where a connection is known to live, else on the next that comes up.
+    fn start(&mut self, setup: Setup) -> Vec<Input> {
+        self.draining = false;
+        let now = unix_now();
+        let quiet = |c: &Conn| c.asked.is_some_and(|at| now > at + self.shared.limits.quiet);
+        let best = self.best();
+        let connecting = self.conns.values().any(|c| !c.up);
+        let full = self.conns.len() >= self.shared.limits.server_conns;
+        match best.and_then(|id| self.conns.get(&id).map(|c| (id, quiet(c)))) {
+            Some((id, false)) => return self.send(id, setup),
+            // Quiet on all connections there may be: it has to wait its turn there.
+            Some((id, true)) if full && !connecting => return self.send(id, setup),
+            _ => {}
+        }
+        self.queue.push_back(setup);
+        if !connecting {
+            self.connect();
+        }
+        Vec::new()
+    }
+
+    fn send(&mut self, conn: u64, setup: Setup) -> Vec<Input> {
+        let class = self.shared.classes.get(setup.class).map_or("", String::as_str);
+        let bytes = invite(&setup, class);
+        if bytes.len() > self.shared.limits.message || !self.write(conn, bytes) {
+            return vec![self.ended(setup.id, setup.attempt, End::plain(Outcome::NotSent))];
+        }
+        if let Some(c) = self.conns.get_mut(&conn) {
+            c.asked.get_or_insert(unix_now());
+        }
+        self.setups.insert(setup.id, Out { conn, attempt: setup.attempt, number: setup.number });
+        Vec::new()
+    }
+
+    /// Queues bytes for a connection; one that takes no more is as good as lost.
+    fn write(&mut self, conn: u64, bytes: Vec<u8>) -> bool {
+        self.conns.get(&conn).is_some_and(|c| c.write.try_send(bytes).is_ok())
+    }
+
+    fn ended(&self, id: CallId, attempt: u32, end: End) -> Input {
+        Input::Ended { id, attempt, server: self.server, end }
+    }
+
+    fn fail_queue(&mut self, outcome: Outcome) -> Vec<Input> {
+        let queue = std::mem::take(&mut self.queue);
+        queue.into_iter().map(|s| self.ended(s.id, s.attempt, End::plain(outcome))).collect()
+    }
+
+    fn connect(&mut self) {
+        self.next += 1;
+        let (write, to_write) = async_channel::bounded(self.shared.limits.link_queue);
+        self.conns.insert(self.next, Conn { write, up: false, heard: 0, asked: None });
+        let (id, addr, tell) = (self.next, self.addr, self.tell.clone());
+        let shared = self.shared.clone();
+        let task = async move {
+            let up = within(shared.limits.connect, Async::<TcpStream>::connect(addr)).await;
+            let stream = match up.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into())) {
+                Ok(stream) => stream,
+                Err(e) => {
+                    let _ = tell.send((id, Told::Failed(e.kind()))).await;
+                    return;
+                }
+            };
+            let _ = stream.get_ref().set_nodelay(true);
+            let _ = tell.send((id, Told::Up)).await;
+            future::or(
+                read(&shared.limits, &stream, id, &tell),
+                write_queue(&shared.limits, &stream, to_write),
+            )
+            .await;
+            drop(stream);
+            let _ = tell.send((id, Told::Closed)).await;
+        };
+        self.shared.executor.spawn(task).detach();
+    }
+
+    fn told(&mut self, conn: u64, told: Told) -> Vec<Input> {
+        match told {
+            Told::Up => {
+                let Some(c) = self.conns.get_mut(&conn) else { return Vec::new() };
+                c.up = true;
+                c.heard = unix_now();
+                self.retire(conn);
+                let queue = match self.draining {
+                    true => return self.fail_queue(Outcome::NotSent),
+                    false => std::mem::take(&mut self.queue),
+                };
+                queue.into_iter().flat_map(|s| self.send(conn, s)).collect()
+            }
+            Told::Failed(kind) => {
+                let mut inputs = self.lose(conn);
+                if !self.conns.values().any(|c| !c.up) {
+                    inputs.extend(self.fail_queue(Outcome::NoRoute));
+                }
+                // Nobody listens any more: the process is gone, and what stood there with it.
+                if kind == io::ErrorKind::ConnectionRefused && self.conns.is_empty() {
+                    inputs.push(Input::Died(self.server));
+                }
+                inputs
+            }
+            Told::Closed => self.lose(conn),
+            Told::Message(message) => {
+                if let Some(c) = self.conns.get_mut(&conn) {
+                    c.heard = unix_now();
+                    c.asked = None;
+                }
+                self.message(conn, message)
+            }
+        }
+    }
+
+    /// Closes older connections that have nothing open, once a new one is up.
+    fn retire(&mut self, newest: u64) {
+        let busy: Vec<u64> = self.setups.values().map(|o| o.conn).collect();
+        self.conns.retain(|id, c| *id == newest || !c.up || busy.contains(id));
+    }
+
+    /// A connection has ended, and with it the set-ups open on it; calls that stand outlive it.
+    fn lose(&mut self, conn: u64) -> Vec<Input> {
+        self.conns.remove(&conn);
+        if self.conns.is_empty() {
+            let wait = self.shared.limits.reconnect.as_micros() as Time;
+            self.connect_at = Some(unix_now() + wait);
+        }
+        let lost: Vec<CallId> =
+            self.setups.iter().filter(|(_, o)| o.conn == conn).map(|(id, _)| *id).collect();
+        let out = lost.into_iter().filter_map(|id| self.setups.remove(&id).map(|o| (id, o)));
+        out.collect::<Vec<_>>()
+            .into_iter()
+            .map(|(id, o)| self.ended(id, o.attempt, End::plain(Outcome::Reset)))
+            .collect()
+    }
+
+    fn message(&mut self, conn: u64, m: Message) -> Vec<Input> {
+        match &m.start {
+            Start::Request { method } => match method.as_str() {
+                "BYE" => {
+                    self.write(conn, m.response("200 OK"));
+                    let Some(id) = m.call() else { return Vec::new() };
+                    let cause = m.cause().unwrap_or(CAUSE_NORMAL);
+                    vec![Input::Over { id, server: self.server, cause, report: m.report() }]
+                }
+                "NOTIFY" => m.report().map(|r| Input::Room(self.server, r)).into_iter().collect(),
+                "OPTIONS" => {
+                    self.write(conn, m.response("200 OK"));
+                    Vec::new()
+                }
+                _ => Vec::new(),
+            },
+            Start::Response { status } => {
+                let status = *status;
+                let Some((sequence, "INVITE")) = m.sequence() else { return Vec::new() };
+                let Some(call) = m.call().filter(|_| status >= 200) else { return Vec::new() };
+                self.answered(conn, call, sequence, status, m)
+            }
+        }
+    }
+
+    /// A final response to an `INVITE`. Whoever it is for, it gets its `ACK`.
+    fn answered(&mut self, conn: u64, call: CallId, sequence: u32, status: u16, m: Message) -> Vec<Input> {
+        let known = self.setups.get(&call).is_some_and(|o| o.attempt + 1 == sequence && o.conn == conn);
+        let out = if known { self.setups.remove(&call) } else { None };
+        let number = out.as_ref().map_or("unknown", |o| &o.number);
+        self.write(conn, follow_up("ACK", number, call, sequence, ""));
+        match out {
+            Some(o) if status < 300 => vec![Input::Stood {
+                id: call,
+                attempt: o.attempt,
+                server: self.server,
+                payload: m.body.into(),
+            }],
+            Some(o) => vec![self.ended(call, o.attempt, refusal(status, &m, self.shared.gives_wait))],
+            // Guards against an answer that crossed its CANCEL: nobody waits for this call here.
+            None if status < 300 => {
+                self.write(conn, bye(call, CAUSE_NORMAL));
+                Vec::new()
+            }
+            None => Vec::new(),
+        }
+    }
+}
+
+fn bye(call: CallId, cause: u8) -> Vec<u8> {
+    follow_up("BYE", "unknown", call, 1, &format!("Reason: Q.850;cause={cause}\r\n"))
+}
+
+/// What a refusal means, as the simulator's adapter reads it.
+fn refusal(status: u16, m: &Message, gives_wait: bool) -> End {
+    let outcome = match status {
+        503 => Outcome::Full,
+        480 => Outcome::NotSent,
+        504 => Outcome::Reset,
+        _ => Outcome::Fault,
+    };
+    let reason = match m.get("X-Note") {
+        Some("congestion") => Some(Reason::NoLine),
+        Some("crankback") => Some(Reason::TurnedBack),
+        Some("throttled" | "remote_throttled") => Some(Reason::ProcessorFull),
+        Some("engaged") => Some(Reason::NumberBusy),
+        _ => None,
+    };
+    let stated = m.get("X-Delay").and_then(|ms| ms.parse::<f64>().ok()).filter(|ms| *ms >= 1.0 && *ms < 1e9);
+    let wait = stated.filter(|_| gives_wait && m.get("X-Note") == Some("throttled"));
+    End { outcome, reason, wait: wait.map(|ms| (ms * 1000.0) as Time), report: m.report() }
+}
+
+async fn read(limits: &Limits, stream: &Async<TcpStream>, id: u64, tell: &Sender<(u64, Told)>) {
+    let messages = messages(stream, Decoder { most: limits.message }, limits.read);
+    pin!(messages);
+    while let Some(message) = messages.next().await {
+        match message {
+            Ok(message) => {
+                if tell.send((id, Told::Message(message))).await.is_err() {
+                    return;
+                }
+            }
+            Err(e) => {
+                eprintln!("server connection: {e}");
+                return;
+            }
+        }
+    }
+}
+
+/// Writes what is queued; ends when the link drops the connection or the server takes nothing more.
+async fn write_queue(limits: &Limits, stream: &Async<TcpStream>, bytes: Receiver<Vec<u8>>) {
+    while let Ok(mut next) = bytes.recv().await {
+        while let Ok(more) = bytes.try_recv() {
+            next.extend(more);
+        }
+        if write_all(stream, &next, limits.write).await.is_err() {
+            return;
+        }
+    }
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -60,7 +60,12 @@
                     .collect::<Option<Vec<_>>>()
                     .ok_or("field config: allowed_pools holds no number")?,
             ),
-            Some(other) => return Err(format!("field config: allowed_pools cannot be {}", miniserde::json::to_string(other))),
+            Some(other) => {
+                return Err(format!(
+                    "field config: allowed_pools cannot be {}",
+                    miniserde::json::to_string(other)
+                ));
+            }
         };
         classes.push(class(profile, places)?);
     }
@@ -99,11 +104,11 @@
     let columns = maybe(v, "report.columns", array)?
         .into_iter()
         .flatten()
-        .map(|c| word(c).ok_or_else(|| format!("field config: report.columns cannot hold {}", miniserde::json::to_string(c))))
+        .map(|c| {
+            word(c).ok_or_else(|| {
+                format!("field config: report.columns cannot hold {}", miniserde::json::to_string(c))
+            })
+        })
         .collect::<Result<_, _>>()?;
-    Ok(Start {
-        settings,
-        columns,
-        gives_wait: maybe(v, "specifics.gives_wait", json::flag)? == Some(true),
-    })
+    Ok(Start { settings, columns, gives_wait: maybe(v, "specifics.gives_wait", json::flag)? == Some(true) })
 }
