--- a/wirehost/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,4 +1,4 @@
-//! Hosts roadyard controllers on the wire: one batch of events in, one reply of actions out.
+//! Hosts fernspan controllers on the wire: one batch of events in, one reply of actions out.
 #![forbid(unsafe_code)]
 
 mod wire;
@@ -27,7 +27,7 @@
     match run(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("roadyard-wirehost: {message}");
+            eprintln!("fernspan-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/wirehost/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -1,8 +1,8 @@
 //! The wire's lines, in and out. It translates and decides nothing.
 
 use base64::{Engine, engine::general_purpose::STANDARD};
-use roadyard::*;
-use roadyard_settings::{self as settings, Start};
+use fernspan_core::*;
+use fernspan_settings::{self as settings, Start};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::str::FromStr;
--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -1,8 +1,8 @@
 //! What the platform tells a proxy at its start.
 
 use crate::feed::{self, ListEvent};
-use roadyard_settings::json::{self, Value, need};
-use roadyard_settings::{Start, from_value};
+use fernspan_settings::json::{self, Value, need};
+use fernspan_settings::{Start, from_value};
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/proxy/src/engine.rs
+++ b/proxy/src/engine.rs
@@ -5,7 +5,7 @@
 //! to a server that drains.
 
 use crate::limits::Limits;
-use roadyard::{
+use fernspan_core::{
     Action, CallId, Controller, Entry, Event, ListKind, NewCall, Outcome, Place, Reason, Report, ServerId,
     State, Time,
 };
@@ -190,7 +190,7 @@
 }
 
 impl Engine {
-    pub fn new(settings: roadyard::Settings, seed: u64, limits: &Limits) -> Self {
+    pub fn new(settings: fernspan_core::Settings, seed: u64, limits: &Limits) -> Self {
         Engine {
             attempt_limit: settings.attempt_limit,
             release_wait: settings.release_wait,
--- a/proxy/src/feed.rs
+++ b/proxy/src/feed.rs
@@ -5,9 +5,9 @@
 use crate::net::{Decode, WireError, messages, within, write_all};
 use async_channel::Sender;
 use async_io::{Async, Timer};
+use fernspan_core::{Entry, ListKind, State};
+use fernspan_settings::json::{self, Value};
 use futures_lite::{StreamExt, pin};
-use roadyard::{Entry, ListKind, State};
-use roadyard_settings::json::{self, Value};
 use std::net::{SocketAddr, TcpStream};
 
 /// One event: its number and what it says.
--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -6,8 +6,8 @@
 use crate::net::unix_now;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
+use fernspan_core::{CallId, Entry, ListKind, Outcome, ServerId, State, Time};
 use futures_lite::future;
-use roadyard::{CallId, Entry, ListKind, Outcome, ServerId, State, Time};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
--- a/proxy/src/isup/mod.rs
+++ b/proxy/src/isup/mod.rs
@@ -3,7 +3,7 @@
 pub mod front;
 
 use crate::net::{Decode, WireError};
-use roadyard::CallId;
+use fernspan_core::CallId;
 
 pub const SETUP: u8 = 1;
 pub const ANSWER: u8 = 9;
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -1,6 +1,6 @@
 //! Every size, count and time of the program, in one place: filled at start and handed down.
 
-use roadyard::Time;
+use fernspan_core::Time;
 use std::time::Duration;
 
 /// Times are in microseconds where the engine counts them, else spans for a timer.
--- a/proxy/src/net.rs
+++ b/proxy/src/net.rs
@@ -1,8 +1,8 @@
 //! What every socket shares: streams of messages, writes that cannot hang, and the clock.
 
 use async_io::Timer;
+use fernspan_core::Time;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Stream, future, stream};
-use roadyard::Time;
 use std::fmt;
 use std::future::Future;
 use std::io;
--- a/proxy/src/sip/mod.rs
+++ b/proxy/src/sip/mod.rs
@@ -4,7 +4,7 @@
 
 use crate::engine::Setup;
 use crate::net::{Decode, WireError};
-use roadyard::{CallId, Report};
+use fernspan_core::{CallId, Report};
 use std::fmt::Write;
 
 /// What the first line says.
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -5,9 +5,9 @@
 
 pub mod json;
 
+use fernspan_core::{Class, Effect, Group, Settings, Tenant};
 use json::{array, maybe, need, number, place, span, word};
 use miniserde::json::Value;
-use roadyard::{Class, Effect, Group, Settings, Tenant};
 
 /// What the host of one controller needs from the settings.
 pub struct Start {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Settings and event scripts shared by the tests.
 #![allow(dead_code)]
 
-use roadyard::*;
+use fernspan_core::*;
 
 pub const MS: Time = 1_000;
 pub const S: Time = 1_000_000;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use roadyard::choice::{ADDL_DECREMENT, LEAST_SHARE, MAX_DECREASE, MAX_INCREASE, next_window};
-use roadyard::*;
+use fernspan_core::choice::{ADDL_DECREMENT, LEAST_SHARE, MAX_DECREASE, MAX_INCREASE, next_window};
+use fernspan_core::*;
 
 fn near(found: Option<f64>, wanted: f64) {
     let found = found.expect("a closed window");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,9 +2,9 @@
 
 mod common;
 use common::*;
+use fernspan_core::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use roadyard::*;
 use std::collections::BTreeMap;
 
 #[derive(Clone, Default)]
