Add the ENUM front: look-ups over DNS on the same engine, name servers from xDS

Seen: a whole path from query to answer over UDP and TCP, played byte by byte in proxy/tests/recorded; with half the answers stalled, 30 of 30 calls end once within 9 s. Late replies reach a closed socket, TC goes on over TCP in the same attempt, a refusal carries an extended error with when to come back. The platform's tests (call, garbage, refusals, crossings, standing, reset, drain, stop) come with it. Found by them: a server's lost connection was opened again only after 0.5 s, though undelivered releases come on the next one; it is now opened at once, unless it was up for less than that.

--- a/proxy/src/engine.rs
+++ b/proxy/src/engine.rs
@@ -180,6 +180,7 @@
     release_wait: Time,
     hold_off: Option<Time>,
     margin: Time,
+    most_open: usize,
     now: Time,
     calls: HashMap<CallId, Call>,
     ended: Ended,
@@ -196,6 +197,7 @@
             release_wait: settings.release_wait,
             hold_off: settings.max_hold_off,
             margin: limits.margin,
+            most_open: limits.open_calls,
             controller: Controller::new(settings, seed),
             now: 0,
             calls: HashMap::new(),
@@ -262,6 +264,12 @@
         if self.calls.contains_key(&r.id) {
             return;
         }
+        // Guards against a queue without bounds in front of slow servers.
+        if self.open() >= self.most_open {
+            self.ended.add(r.id);
+            out.push(Output::Reply(Some(r.source), r.id, Reply::Refused(self.hold_off)));
+            return;
+        }
         let gives_up = r.at.saturating_add(r.patience);
         let mut deadline = gives_up.saturating_sub(self.margin);
         if let Some(stop) = self.stop_at {
--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -107,7 +107,7 @@
                 if self.engine.open() == 0 {
                     return;
                 }
-                grace = Some(now + 10_000);
+                grace = Some(now + self.limits.look);
             }
         }
     }
--- a/proxy/src/isup/front.rs
+++ b/proxy/src/isup/front.rs
@@ -4,16 +4,14 @@
 use crate::engine::{Input, Reply, Request, Source};
 use crate::hub;
 use crate::limits::Limits;
-use crate::net::{messages, unix_now, write_all};
+use crate::net::{accept_all, messages, unix_now, write_all};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Async;
 use fernspan_core::{Place, Time};
 use futures_lite::{StreamExt, future, pin};
-use std::cell::Cell;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
 
 /// Names that set-ups use, in the order of the settings.
 pub struct Names {
@@ -167,29 +165,12 @@
     !number.is_empty() && number.bytes().all(|b| b.is_ascii_graphic() && !b"@<>\"".contains(&b))
 }
 
-/// Accepts callers for ever.
+/// Takes callers for ever.
 pub async fn listen(front: Rc<Front>, listener: Async<TcpListener>, executor: Rc<LocalExecutor<'static>>) {
-    let open = Rc::new(Cell::new(0));
-    for source in 1.. {
-        // Guards the descriptors: what is over waits in the backlog.
-        while open.get() >= front.limits.caller_conns {
-            Timer::after(Duration::from_millis(20)).await;
-        }
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                eprintln!("accept: {e}");
-                Timer::after(Duration::from_millis(20)).await;
-                continue;
-            }
-        };
-        open.set(open.get() + 1);
-        let (front, open) = (front.clone(), open.clone());
-        executor
-            .spawn(async move {
-                front.serve(stream, source).await;
-                open.set(open.get() - 1);
-            })
-            .detach();
-    }
+    let (most, pause) = (front.limits.caller_conns, front.limits.pause);
+    accept_all(listener, most, pause, executor, move |stream, source| {
+        let front = front.clone();
+        async move { front.serve(stream, source).await }
+    })
+    .await;
 }
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -16,6 +16,14 @@
     pub link_queue: usize,
     /// Connections held by callers at most.
     pub caller_conns: usize,
+    /// Connections held by ENUM askers at most.
+    pub askers: usize,
+    /// An ENUM asker's connection that says nothing for so long is closed.
+    pub idle: Duration,
+    /// Calls without a final answer at most; more are refused at once.
+    pub open_calls: usize,
+    /// How often the operator's file is looked at.
+    pub watch: Duration,
     /// Connections to one server at most.
     pub server_conns: usize,
     /// A connection that is not up by then failed.
@@ -38,11 +46,17 @@
     pub grace: Time,
     /// After SIGTERM everything is answered by then.
     pub stop: Time,
+    /// How often it is looked whether all is answered, after the grace.
+    pub look: Time,
+    /// Time for the last answers to leave the program.
+    pub flush: Duration,
+    /// Pause of a listener that cannot accept now.
+    pub pause: Duration,
 }
 
 impl Limits {
-    /// From the platform's figures: descriptors and the longest wait for a connection.
-    pub fn new(sockets: usize, connect: Duration) -> Self {
+    /// From the figures that are given: descriptors, open calls and the longest wait for a connection.
+    pub fn new(sockets: usize, open_calls: usize, connect: Duration) -> Self {
         Limits {
             message: 16 * 1024,
             read: 16 * 1024,
@@ -50,6 +64,10 @@
             link_queue: 1024,
             // Callers hold a third by the protocol; as much again is left for servers and spare.
             caller_conns: (sockets / 2).max(8),
+            askers: 64,
+            idle: Duration::from_secs(10),
+            open_calls,
+            watch: Duration::from_secs(1),
             server_conns: 4,
             connect,
             write: Duration::from_secs(2),
@@ -61,6 +79,9 @@
             undelivered: 10_000,
             grace: 700_000,
             stop: 3_300_000,
+            look: 10_000,
+            flush: Duration::from_millis(100),
+            pause: Duration::from_millis(20),
         }
     }
 }
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -1,52 +1,99 @@
 //! A signalling proxy on real sockets around the decision module.
+//!
+//! `PROXY_CONFIG` names the platform's configuration, `PROXY_ENUM` an operator's file that turns the ENUM
+//! front on. Each front has an engine of its own; either may be left out.
 #![forbid(unsafe_code)]
 
 mod config;
+mod dns;
 mod engine;
 mod feed;
 mod hub;
 mod isup;
 mod limits;
 mod net;
+mod operator;
 mod sip;
+mod xds;
 
-use crate::config::Config;
 use crate::engine::Engine;
 use crate::hub::{Core, Message};
-use crate::isup::front::{Front, Names, listen};
 use crate::limits::Limits;
-use async_executor::LocalExecutor;
+use async_channel::Sender;
+use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use fernspan_core::ListKind;
 use futures_lite::{StreamExt, future};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
+type Executor = Rc<LocalExecutor<'static>>;
+/// A core at work, and the way to it.
+type Serving = (Sender<Message>, Task<()>);
+
 fn main() -> ExitCode {
     let executor = Rc::new(LocalExecutor::new());
     match async_io::block_on(executor.run(start(executor.clone()))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("proxy: {message}");
+            eprintln!("fernspan: {message}");
             ExitCode::FAILURE
         }
     }
 }
 
-/// Reads the configuration and serves until SIGTERM.
-async fn start(executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
-    let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG names no configuration".to_owned())?;
+/// Reads what is configured and serves until SIGTERM.
+async fn start(executor: Executor) -> Result<(), String> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+    let mut serving: Vec<Serving> = Vec::new();
+    let mut flush = Duration::ZERO;
+    if let Some((path, text)) = file_of("PROXY_CONFIG")? {
+        let config = config::read(&text).map_err(|e| format!("{path}: {e}"))?;
+        let limits = Limits::new(config.sockets, config.open_calls, config.connect);
+        flush = limits.flush;
+        serving.push(platform(config, limits, &executor).await?);
+    }
+    if let Some((path, text)) = file_of("PROXY_ENUM")? {
+        let operator = operator::read(&text).map_err(|e| format!("{path}: {e}"))?;
+        let limits = Limits::new(1024, operator.open, operator.cluster.connect_timeout);
+        flush = limits.flush;
+        serving.push(enumeration(operator, limits, path, text, &executor).await?);
+    }
+    if serving.is_empty() {
+        return Err("neither PROXY_CONFIG nor PROXY_ENUM names a file".to_owned());
+    }
+    let queues: Vec<Sender<Message>> = serving.iter().map(|s| s.0.clone()).collect();
+    let stop = async {
+        if signals.next().await.is_some() {
+            for queue in queues {
+                let _ = queue.send(Message::Stop).await;
+            }
+        }
+        future::pending().await
+    };
+    let served = async {
+        for (_, task) in serving {
+            task.await;
+        }
+    };
+    future::or(served, stop).await;
+    // The last answers are with the connections' writers by now; they get a moment to leave.
+    Timer::after(flush).await;
+    Ok(())
+}
+
+/// The file that a variable names, where it is set.
+fn file_of(variable: &str) -> Result<Option<(String, String)>, String> {
+    let Ok(path) = std::env::var(variable) else { return Ok(None) };
     let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
-    let config = config::read(&text).map_err(|e| format!("{path}: {e}"))?;
-    let limits = Limits::new(config.sockets, config.connect);
-    serve(config, limits, executor).await
+    Ok(Some((path, text)))
 }
 
-async fn serve(config: Config, limits: Limits, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+/// The platform's protocol: callers in front, setup servers behind, the command channel beside them.
+async fn platform(config: config::Config, limits: Limits, executor: &Executor) -> Result<Serving, String> {
     let (queue, messages) = async_channel::bounded(limits.core_queue);
     let patience = config.start.settings.classes.iter().map(|c| c.limit).collect();
     let setups = sip::link::Setups {
@@ -57,7 +104,7 @@
     };
     let engine = Engine::new(config.start.settings, config.seed, &limits);
     let core = Core::new(engine, Rc::new(setups), limits.clone(), queue.clone());
-    let served = executor.spawn(core.run(messages));
+    let task = executor.spawn(core.run(messages));
 
     // The events of the start go in before anybody can ask, so that a test passes only when all is ready.
     for event in config.known {
@@ -72,25 +119,58 @@
         last: config.cursor,
     };
     executor.spawn(feed.run()).detach();
-    let listener = Async::<TcpListener>::bind(config.listen)
-        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let names = Names { classes: config.classes, patience, tenants: config.tenants };
-    let front = Front { names, limits: limits.clone(), core: queue.clone() };
-    executor.spawn(listen(Rc::new(front), listener, executor.clone())).detach();
-    eprintln!("{}: serving on {}", config.name, config.listen);
+    let listener = listen(config.listen)?;
+    eprintln!("{}: serving on {}", config.name, local(&listener)?);
+    let names = isup::front::Names { classes: config.classes, patience, tenants: config.tenants };
+    let front = isup::front::Front { names, limits, core: queue.clone() };
+    executor.spawn(isup::front::listen(Rc::new(front), listener, executor.clone())).detach();
+    Ok((queue, task))
+}
 
-    let stop = async {
-        if signals.next().await.is_some() {
-            let _ = queue.send(Message::Stop).await;
-        }
-        future::pending::<()>().await
+/// ENUM look-ups: askers in front, name servers behind, the operator's file beside them.
+async fn enumeration(
+    operator: operator::Operator,
+    limits: Limits,
+    path: String,
+    text: String,
+    executor: &Executor,
+) -> Result<Serving, String> {
+    let (queue, messages) = async_channel::bounded(limits.core_queue);
+    let backend = dns::link::NameServers {
+        limits: limits.clone(),
+        attempt: operator.attempt,
+        most_out: operator.most_out,
+        executor: executor.clone(),
     };
-    future::or(served, stop).await;
-    // The last answers are with the connections' writers by now; they get a moment to leave.
-    Timer::after(Duration::from_millis(100)).await;
-    Ok(())
+    let seed = match operator.seed {
+        Some(seed) => seed,
+        None => getrandom::u64().map_err(|e| format!("no random numbers: {e}"))?,
+    };
+    let engine = Engine::new(operator.settings, seed, &limits);
+    let core = Core::new(engine, Rc::new(backend), limits.clone(), queue.clone());
+    let task = executor.spawn(core.run(messages));
+
+    send(&queue, Message::List(ListKind::Saved, operator.cluster.servers)).await?;
+    executor.spawn(operator::watch(path.into(), text, limits.watch, queue.clone())).detach();
+    let listener = listen(operator.listen)?;
+    let at = local(&listener)?;
+    let socket = Async::<UdpSocket>::bind(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
+    eprintln!("ENUM: serving on {at}");
+    let patience = operator.patience.as_micros() as u64;
+    let front = Rc::new(dns::front::Front::new(operator.zone, patience, limits, queue.clone()));
+    executor.spawn(front.clone().datagrams(socket)).detach();
+    executor.spawn(front.connections(listener, executor.clone())).detach();
+    Ok((queue, task))
+}
+
+fn listen(addr: SocketAddr) -> Result<Async<TcpListener>, String> {
+    Async::<TcpListener>::bind(addr).map_err(|e| format!("cannot listen on {addr}: {e}"))
+}
+
+fn local(listener: &Async<TcpListener>) -> Result<SocketAddr, String> {
+    listener.get_ref().local_addr().map_err(|e| format!("no local address: {e}"))
 }
 
-async fn send(queue: &async_channel::Sender<Message>, message: Message) -> Result<(), String> {
+async fn send(queue: &Sender<Message>, message: Message) -> Result<(), String> {
     queue.send(message).await.map_err(|_| "the core has stopped".to_owned())
 }
--- a/proxy/src/net.rs
+++ b/proxy/src/net.rs
@@ -1,11 +1,15 @@
 //! What every socket shares: streams of messages, writes that cannot hang, and the clock.
 
-use async_io::Timer;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
 use fernspan_core::Time;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Stream, future, stream};
+use std::cell::Cell;
 use std::fmt;
 use std::future::Future;
 use std::io;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// The system's Unix clock, in microseconds.
@@ -91,3 +95,40 @@
 pub async fn write_all(mut writer: impl AsyncWrite + Unpin, bytes: &[u8], limit: Duration) -> io::Result<()> {
     within(limit, writer.write_all(bytes)).await.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
 }
+
+/// Accepts connections for ever, `most` at a time, numbered from 1, and has each served by a task of its own.
+/// When it cannot accept now it looks again after `pause`.
+pub async fn accept_all<F, S>(
+    listener: Async<TcpListener>,
+    most: usize,
+    pause: Duration,
+    executor: Rc<LocalExecutor<'static>>,
+    serve: F,
+) where
+    F: Fn(Async<TcpStream>, u64) -> S,
+    S: Future<Output = ()> + 'static,
+{
+    let open = Rc::new(Cell::new(0));
+    for number in 1.. {
+        // Guards the descriptors: what is over waits in the backlog.
+        while open.get() >= most {
+            Timer::after(pause).await;
+        }
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                eprintln!("accept: {e}");
+                Timer::after(pause).await;
+                continue;
+            }
+        };
+        open.set(open.get() + 1);
+        let (served, open) = (serve(stream, number), open.clone());
+        executor
+            .spawn(async move {
+                served.await;
+                open.set(open.get() - 1);
+            })
+            .detach();
+    }
+}
--- a/proxy/src/sip/link.rs
+++ b/proxy/src/sip/link.rs
@@ -61,6 +61,8 @@
 struct Conn {
     write: Sender<Vec<u8>>,
     up: bool,
+    /// When it came up.
+    opened: Time,
     heard: Time,
     /// When the first set-up went out since it was heard last.
     asked: Option<Time>,
@@ -222,7 +224,7 @@
     fn connect(&mut self) {
         self.next += 1;
         let (write, to_write) = async_channel::bounded(self.shared.limits.link_queue);
-        self.conns.insert(self.next, Conn { write, up: false, heard: 0, asked: None });
+        self.conns.insert(self.next, Conn { write, up: false, opened: 0, heard: 0, asked: None });
         let (id, addr, tell) = (self.next, self.addr, self.tell.clone());
         let shared = self.shared.clone();
         let task = async move {
@@ -252,7 +254,8 @@
             Told::Up => {
                 let Some(c) = self.conns.get_mut(&conn) else { return Vec::new() };
                 c.up = true;
-                c.heard = unix_now();
+                c.opened = unix_now();
+                c.heard = c.opened;
                 self.retire(conn);
                 let queue = match self.draining {
                     true => return self.fail_queue(Outcome::NotSent),
@@ -290,10 +293,13 @@
 
     /// A connection has ended, and with it the set-ups open on it; calls that stand outlive it.
     fn lose(&mut self, conn: u64) -> Vec<Input> {
-        self.conns.remove(&conn);
+        let lost = self.conns.remove(&conn);
         if self.conns.is_empty() {
+            // At once, since a server sends releases that it could not deliver on its next connection; but
+            // guards against one that accepts only to close.
             let wait = self.shared.limits.reconnect.as_micros() as Time;
-            self.connect_at = Some(unix_now() + wait);
+            let opened = lost.filter(|c| c.up).map_or(unix_now(), |c| c.opened);
+            self.connect_at = Some(unix_now().max(opened + wait));
         }
         let lost: Vec<CallId> =
             self.setups.iter().filter(|(_, o)| o.conn == conn).map(|(id, _)| *id).collect();
--- /dev/null
+++ b/proxy/tests/play/mod.rs
@@ -0,0 +1,485 @@
+//! Plays recorded byte exchanges against the program. `recorded/README.md` has the form of the files.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+/// Longest wait for what has to come. Generous: only a failing test waits so long.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+const PRELUDE: &str = include_str!("../recorded/prelude.txt");
+const CONFIG: &str = include_str!("../recorded/config.json");
+const OPERATOR: &str = include_str!("../recorded/enum.json");
+
+/// The program, ended with the test.
+pub struct Program {
+    pub child: Child,
+    pub file: PathBuf,
+    log: Receiver<String>,
+}
+
+impl Program {
+    /// Starts it with a file named by `variable`.
+    pub fn start(variable: &str, text: &str) -> Program {
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let number = COUNT.fetch_add(1, Ordering::Relaxed);
+        let at = std::env::temp_dir().join(format!("fernspan-{}-{number}.json", std::process::id()));
+        std::fs::write(&at, text).expect("the configuration is written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_fernspan"))
+            .env_remove("PROXY_CONFIG")
+            .env_remove("PROXY_ENUM")
+            .env(variable, &at)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let stderr = BufReader::new(child.stderr.take().expect("piped"));
+        let (tell, log) = channel();
+        std::thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| tell.send(l)));
+        Program { child, file: at, log }
+    }
+
+    /// Waits for the address that it serves on.
+    pub fn address(&self) -> SocketAddr {
+        loop {
+            let line = self.log.recv_timeout(PATIENCE).expect("the program serves");
+            if let Some((_, at)) = line.split_once("serving on ") {
+                return at.parse().expect("an address");
+            }
+        }
+    }
+
+    /// Its last words.
+    pub fn says(&self) -> String {
+        self.log.recv_timeout(PATIENCE).expect("a line of the log")
+    }
+
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("the program can be waited for") {
+                return status.code();
+            }
+            assert!(Instant::now() < end, "the program does not end");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// A piece of a line of bytes.
+#[derive(Clone, Debug)]
+enum Token {
+    Bytes(Vec<u8>),
+    /// A run of digits, whatever they are.
+    Digits,
+    Any(usize),
+    Capture(String, usize),
+    Captured(String),
+}
+
+/// One end that the test holds.
+enum End {
+    Stream(TcpStream, Vec<u8>),
+    /// The program's nth datagram came from there.
+    Peer(SocketAddr),
+    Datagrams(UdpSocket),
+}
+
+#[derive(Default)]
+struct Play {
+    program: Option<Program>,
+    address: Option<SocketAddr>,
+    listeners: HashMap<String, TcpListener>,
+    sockets: HashMap<String, UdpSocket>,
+    accepted: HashMap<String, usize>,
+    ends: HashMap<String, End>,
+    captured: HashMap<String, Vec<u8>>,
+}
+
+/// Plays one file.
+pub fn play(text: &str) {
+    let mut play = Play::default();
+    let mut defs: HashMap<&str, &str> = HashMap::new();
+    for (n, line) in PRELUDE.lines().chain(text.lines()).enumerate() {
+        let line = line.trim();
+        if let Some((name, value)) = line.strip_prefix("def ").and_then(|d| d.split_once(' ')) {
+            defs.insert(name, value);
+        } else if !line.is_empty() && !line.starts_with('#') {
+            let line = expand(line, &defs);
+            let n = (n + 1).saturating_sub(PRELUDE.lines().count());
+            play.line(&line).unwrap_or_else(|e| panic!("line {n}: {line}\n{e}"));
+        }
+    }
+}
+
+/// Puts the text of `def name text` in the place of `$name(a|b)`, with its `%1` and `%2` filled in.
+fn expand(line: &str, defs: &HashMap<&str, &str>) -> String {
+    let Some((before, rest)) = line.split_once('$') else { return line.to_owned() };
+    let (name, rest) = rest.split_once('(').expect("$name(");
+    let (arguments, after) = rest.split_once(')').expect("$name(..)");
+    let mut value = defs.get(name).unwrap_or_else(|| panic!("no def {name}")).to_string();
+    for (i, argument) in arguments.split('|').enumerate() {
+        value = value.replace(&format!("%{}", i + 1), argument);
+    }
+    expand(&format!("{before}{value}{after}"), defs)
+}
+
+impl Play {
+    fn line(&mut self, line: &str) -> Result<(), String> {
+        let (who, rest) = line.split_once(' ').unwrap_or((line, ""));
+        let (what, bytes) = rest.split_once(' ').unwrap_or((rest, ""));
+        match (who, what) {
+            ("platform" | "enum", _) => self.start(who, rest),
+            ("wait", ms) => std::thread::sleep(Duration::from_millis(ms.parse().map_err(|_| "wait")?)),
+            ("terminate", _) => {
+                let id = self.program.as_ref().ok_or("no program")?.child.id().to_string();
+                Command::new("kill").args(["-TERM", &id]).status().map_err(|e| e.to_string())?;
+            }
+            ("exits", code) => {
+                let found = self.program.as_mut().ok_or("no program")?.exit_code();
+                if found != code.parse().ok() {
+                    return Err(format!("it exits with {found:?}"));
+                }
+            }
+            (_, ">") => self.send(who, bytes, usize::MAX)?,
+            // The same bytes, one at a time.
+            (_, ">1") => self.send(who, bytes, 1)?,
+            (_, "<") => self.expect(who, bytes)?,
+            (_, "closes") => drop(self.ends.remove(who)),
+            (_, "stops") => drop(self.listeners.remove(who)),
+            (_, "closed") => self.closed(who)?,
+            (_, "quiet") => self.quiet(who, bytes)?,
+            _ => return Err("no such line".to_owned()),
+        }
+        Ok(())
+    }
+
+    /// Starts the program with these servers, all of them listed as serving.
+    fn start(&mut self, what: &str, servers: &str) {
+        let mut listed = Vec::new();
+        for (i, name) in servers.split_whitespace().enumerate() {
+            let listener = listener();
+            let at = listener.local_addr().expect("bound");
+            listed.push(match what {
+                "platform" => format!(
+                    r#"{{"id":"{name}","addr":"{at}","zone":"z","kind":"k","cell":{i},"state":"SERVING","started_ms":0}}"#
+                ),
+                _ => format!(
+                    r#"{{"endpoint":{{"address":{{"socket_address":{{"address":"{}","port_value":{}}}}}}}}}"#,
+                    at.ip(),
+                    at.port()
+                ),
+            });
+            if what == "enum" {
+                let socket = UdpSocket::bind(at).expect("the port is free for UDP as well");
+                socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+                self.sockets.insert(name.to_owned(), socket);
+            }
+            self.listeners.insert(name.to_owned(), listener);
+        }
+        let channel = listener();
+        let at = channel.local_addr().expect("bound").to_string();
+        self.listeners.insert("channel".to_owned(), channel);
+        let (variable, text) =
+            if what == "enum" { ("PROXY_ENUM", OPERATOR) } else { ("PROXY_CONFIG", CONFIG) };
+        let text = text.replace("SERVERS", &listed.join(",")).replace("CHANNEL", &at);
+        let program = Program::start(variable, &text);
+        self.address = Some(program.address());
+        self.program = Some(program);
+    }
+
+    /// The end of that name, opened where it is new: `caller1` connects, `s1` and `s1.2` accept.
+    fn end(&mut self, who: &str) -> Result<&mut End, String> {
+        if !self.ends.contains_key(who) {
+            let (name, number) = who.split_once('.').unwrap_or((who, "1"));
+            let address = self.address.ok_or("no program")?;
+            let end = if let Some(socket) = self.sockets.get(name) {
+                let mut byte = [0];
+                Err(format!("no datagram {number} yet: {:?}", socket.peek(&mut byte).is_ok()))?
+            } else if let Some(listener) = self.listeners.get(name.trim_end_matches('t')) {
+                let count = self.accepted.entry(name.to_owned()).or_default();
+                *count += 1;
+                if number != count.to_string() {
+                    return Err(format!("the next connection is {name}.{count}"));
+                }
+                End::Stream(accept(listener)?, Vec::new())
+            } else if name.starts_with("udp") {
+                let socket = UdpSocket::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+                socket.connect(address).map_err(|e| e.to_string())?;
+                socket.set_read_timeout(Some(PATIENCE)).map_err(|e| e.to_string())?;
+                End::Datagrams(socket)
+            } else {
+                End::Stream(TcpStream::connect(address).map_err(|e| e.to_string())?, Vec::new())
+            };
+            if let End::Stream(stream, _) = &end {
+                stream.set_nodelay(true).map_err(|e| e.to_string())?;
+            }
+            self.ends.insert(who.to_owned(), end);
+        }
+        self.ends.get_mut(who).ok_or_else(|| "no such end".to_owned())
+    }
+
+    fn send(&mut self, who: &str, text: &str, piece: usize) -> Result<(), String> {
+        let mut bytes = Vec::new();
+        for token in self.tokens(text)? {
+            match token {
+                Token::Bytes(more) => bytes.extend(more),
+                Token::Captured(name) => bytes.extend(self.captured.get(&name).ok_or("nothing captured")?),
+                _ => return Err("only bytes can be sent".to_owned()),
+            }
+        }
+        let socket = who.split_once('.').and_then(|(name, _)| self.sockets.get(name));
+        if let (Some(socket), Some(End::Peer(peer))) = (socket, self.ends.get(who)) {
+            return socket.send_to(&bytes, peer).map(drop).map_err(|e| e.to_string());
+        }
+        match self.end(who)? {
+            End::Stream(stream, _) => {
+                for part in bytes.chunks(piece.min(bytes.len().max(1))) {
+                    stream.write_all(part).map_err(|e| e.to_string())?;
+                }
+            }
+            End::Datagrams(socket) => drop(socket.send(&bytes).map_err(|e| e.to_string())?),
+            End::Peer(_) => return Err("no socket".to_owned()),
+        }
+        Ok(())
+    }
+
+    fn expect(&mut self, who: &str, text: &str) -> Result<(), String> {
+        let tokens = self.tokens(text)?;
+        let name = who.split('.').next().unwrap_or(who);
+        if let Some(socket) = self.sockets.get(name) {
+            let (bytes, peer) = datagram(|b| socket.recv_from(b))?;
+            self.ends.insert(who.to_owned(), End::Peer(peer));
+            return self
+                .matches(&tokens, &bytes)?
+                .filter(|n| *n == bytes.len())
+                .map(drop)
+                .ok_or(shown(&bytes));
+        }
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let mut bytes = match self.end(who)? {
+                End::Stream(_, bytes) => std::mem::take(bytes),
+                End::Datagrams(socket) => datagram(|b| socket.recv(b).map(|n| (n, ())))?.0,
+                End::Peer(_) => return Err("no socket".to_owned()),
+            };
+            if let Some(used) = self.matches(&tokens, &bytes)? {
+                let left = bytes.split_off(used);
+                if let End::Stream(_, bytes) = self.end(who)? {
+                    *bytes = left;
+                }
+                return Ok(());
+            }
+            let End::Stream(stream, kept) = self.end(who)? else { return Err(shown(&bytes)) };
+            *kept = bytes;
+            let mut chunk = [0; 4096];
+            stream.set_read_timeout(Some(PATIENCE)).map_err(|e| e.to_string())?;
+            match stream.read(&mut chunk) {
+                Ok(n) if n > 0 && Instant::now() < end => kept.extend_from_slice(&chunk[..n]),
+                found => return Err(format!("{found:?} after {}", shown(kept))),
+            }
+        }
+    }
+
+    /// How many bytes the tokens take, or nothing while there are too few. Bytes that differ are an error.
+    fn matches(&mut self, tokens: &[Token], bytes: &[u8]) -> Result<Option<usize>, String> {
+        let mut at = 0;
+        for token in tokens {
+            let captured = match token {
+                Token::Captured(name) => self.captured.get(name).ok_or("nothing captured")?.clone(),
+                Token::Bytes(bytes) => bytes.clone(),
+                _ => Vec::new(),
+            };
+            match token {
+                Token::Bytes(_) | Token::Captured(_) => {
+                    let found = &bytes[at..bytes.len().min(at + captured.len())];
+                    if !captured.starts_with(found) {
+                        return Err(format!("came  {}\nafter {}", shown(found), shown(&bytes[..at])));
+                    }
+                    at += captured.len();
+                }
+                Token::Digits => at += bytes[at..].iter().take_while(|b| b.is_ascii_digit()).count(),
+                Token::Any(n) => at += n,
+                Token::Capture(name, n) => {
+                    let Some(found) = bytes.get(at..at + n) else { return Ok(None) };
+                    self.captured.insert(name.clone(), found.to_vec());
+                    at += n;
+                }
+            }
+            if at > bytes.len() {
+                return Ok(None);
+            }
+        }
+        Ok(Some(at))
+    }
+
+    fn closed(&mut self, who: &str) -> Result<(), String> {
+        let End::Stream(stream, kept) = self.end(who)? else { return Err("no connection".to_owned()) };
+        stream.set_read_timeout(Some(PATIENCE)).map_err(|e| e.to_string())?;
+        match stream.read_to_end(kept) {
+            Err(e) if e.kind() != std::io::ErrorKind::ConnectionReset => Err(e.to_string()),
+            _ if kept.is_empty() => Ok(()),
+            _ => Err(shown(kept)),
+        }
+    }
+
+    /// Nothing may come for so many milliseconds.
+    fn quiet(&mut self, who: &str, ms: &str) -> Result<(), String> {
+        let wait = Some(Duration::from_millis(ms.parse().map_err(|_| "quiet")?));
+        let mut chunk = [0; 512];
+        let found = match self.sockets.get(who) {
+            Some(socket) => {
+                socket.set_read_timeout(wait).map_err(|e| e.to_string())?;
+                let found = socket.recv(&mut chunk);
+                socket.set_read_timeout(Some(PATIENCE)).map_err(|e| e.to_string())?;
+                found
+            }
+            None => match self.end(who)? {
+                End::Stream(_, kept) if !kept.is_empty() => return Err(shown(kept)),
+                End::Stream(stream, _) => {
+                    stream.set_read_timeout(wait).map_err(|e| e.to_string())?;
+                    stream.read(&mut chunk)
+                }
+                End::Datagrams(socket) => {
+                    socket.set_read_timeout(wait).map_err(|e| e.to_string())?;
+                    let found = socket.recv(&mut chunk);
+                    socket.set_read_timeout(Some(PATIENCE)).map_err(|e| e.to_string())?;
+                    found
+                }
+                End::Peer(_) => return Err("no socket".to_owned()),
+            },
+        };
+        match found {
+            Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {
+                Ok(())
+            }
+            Ok(n) => Err(format!("came {}", shown(&chunk[..n]))),
+            Err(e) => Err(e.to_string()),
+        }
+    }
+
+    fn tokens(&self, text: &str) -> Result<Vec<Token>, String> {
+        let mut rest = text;
+        let tokens = self.group(&mut rest, None)?;
+        if rest.is_empty() { Ok(tokens) } else { Err(format!("left over: {rest}")) }
+    }
+
+    /// Reads tokens up to a closing mark.
+    fn group(&self, rest: &mut &str, closing: Option<char>) -> Result<Vec<Token>, String> {
+        let mut tokens = Vec::new();
+        loop {
+            *rest = rest.trim_start();
+            let Some(c) = rest.chars().next() else { break };
+            if Some(c) == closing {
+                *rest = &rest[1..];
+                return Ok(tokens);
+            }
+            match c {
+                '\'' | '"' => {
+                    let (quoted, after) = rest[1..].split_once(c).ok_or("quote without an end")?;
+                    let plain = quoted.replace("\\r", "\r").replace("\\n", "\n");
+                    tokens.push(Token::Bytes(plain.into_bytes()));
+                    *rest = after;
+                }
+                '{' | '(' => {
+                    *rest = &rest[1..];
+                    let inner = self.group(rest, Some(if c == '{' { '}' } else { ')' }))?;
+                    let length = inner.iter().try_fold(0, |n, t| match t {
+                        Token::Bytes(b) => Some(n + b.len()),
+                        Token::Any(more) | Token::Capture(_, more) => Some(n + more),
+                        Token::Captured(name) => Some(n + self.captured.get(name)?.len()),
+                        Token::Digits => None,
+                    });
+                    tokens.push(match (length, c) {
+                        (Some(n), '{') => Token::Bytes((n as u16).to_be_bytes().to_vec()),
+                        (Some(n), _) => Token::Bytes(vec![n as u8]),
+                        (None, '{') => Token::Any(2),
+                        (None, _) => Token::Any(1),
+                    });
+                    tokens.extend(inner);
+                }
+                '[' => {
+                    let (name, after) = rest[1..].split_once(']').ok_or("[ without an end")?;
+                    tokens.push(match name.split_once(':') {
+                        Some((name, n)) => {
+                            Token::Capture(name.to_owned(), n.parse().map_err(|_| "[name:n]")?)
+                        }
+                        None => Token::Captured(name.to_owned()),
+                    });
+                    *rest = after;
+                }
+                _ => {
+                    let end = rest.find([' ', '{', '(', '\'', '"', '[', '}', ')']).unwrap_or(rest.len());
+                    let (word, after) = rest.split_at(end);
+                    tokens.push(self.word(word)?);
+                    *rest = after;
+                }
+            }
+        }
+        if closing.is_some() { Err("a group without an end".to_owned()) } else { Ok(tokens) }
+    }
+
+    fn word(&self, word: &str) -> Result<Token, String> {
+        if word == "#" {
+            return Ok(Token::Digits);
+        }
+        if let Some(name) = word.strip_prefix('@') {
+            let listener = self.listeners.get(name).ok_or("no such server")?;
+            return Ok(Token::Bytes(
+                listener.local_addr().map_err(|e| e.to_string())?.to_string().into_bytes(),
+            ));
+        }
+        if let Some(n) = word.strip_prefix('*') {
+            return Ok(Token::Any(n.parse().map_err(|_| "*n")?));
+        }
+        let pairs: Option<Vec<u8>> = (word.len() % 2 == 0)
+            .then(|| (0..word.len()).step_by(2).map(|i| u8::from_str_radix(word.get(i..i + 2)?, 16).ok()))
+            .and_then(Iterator::collect);
+        pairs.map(Token::Bytes).ok_or_else(|| format!("no bytes: {word}"))
+    }
+}
+
+fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a free port")
+}
+
+fn accept(listener: &TcpListener) -> Result<TcpStream, String> {
+    listener.set_nonblocking(true).map_err(|e| e.to_string())?;
+    let end = Instant::now() + PATIENCE;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(false).map_err(|e| e.to_string())?;
+                return Ok(stream);
+            }
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock && Instant::now() < end => {
+                std::thread::sleep(Duration::from_millis(2));
+            }
+            Err(e) => return Err(format!("no connection: {e}")),
+        }
+    }
+}
+
+fn datagram<P>(
+    mut receive: impl FnMut(&mut [u8]) -> std::io::Result<(usize, P)>,
+) -> Result<(Vec<u8>, P), String> {
+    let mut bytes = vec![0; 65_536];
+    let (n, peer) = receive(&mut bytes).map_err(|e| format!("no datagram: {e}"))?;
+    bytes.truncate(n);
+    Ok((bytes, peer))
+}
+
+fn shown(bytes: &[u8]) -> String {
+    format!("{} ({})", bytes.escape_ascii(), bytes.len())
+}
--- /dev/null
+++ b/proxy/tests/recorded.rs
@@ -0,0 +1,85 @@
+//! Recorded byte exchanges, played against the program. None needs anything but loopback.
+
+mod play;
+
+use play::{PATIENCE, Program, play};
+use std::net::UdpSocket;
+use std::time::{Duration, Instant};
+
+macro_rules! recorded {
+    ($($name:ident)*) => {
+        $(#[test]
+        fn $name() {
+            play(include_str!(concat!("recorded/", stringify!($name), ".txt")));
+        })*
+    };
+}
+
+recorded! {
+    call garbage refusals crossings standing reset drain stop
+    enum_answers enum_late enum_tcp enum_errors
+}
+
+#[test]
+fn a_bad_file_is_a_clear_line_and_an_exit() {
+    let enum_file = include_str!("recorded/enum.json").replace("SERVERS", "");
+    for (variable, text, line) in [
+        ("PROXY_CONFIG", "{", "this is not JSON"),
+        ("PROXY_CONFIG", "{}", "settings is missing"),
+        ("PROXY_ENUM", &enum_file.replace("\"cluster\":\"c\"", "\"cluster\":\"d\""), "there is no Cluster d"),
+        ("PROXY_ENUM", &enum_file.replace("[]", "[{\"health_status\":\"ILL\"}]"), "no socket_address"),
+        ("PROXY_ENUM", &enum_file.replace("3000", "9001"), "patience_ms cannot be over 9000"),
+    ] {
+        let mut program = Program::start(variable, text);
+        let said = program.says();
+        assert!(said.contains(line), "{said}");
+        assert_eq!(program.exit_code(), Some(1));
+    }
+}
+
+/// The name server answers every other query it gets and is silent on the rest.
+#[test]
+fn with_half_the_answers_stalled_every_call_ends_once_before_9_s() {
+    let server = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    let port = server.local_addr().expect("bound").port();
+    let endpoint = format!(
+        r#"{{"endpoint":{{"address":{{"socketAddress":{{"address":"127.0.0.1","portValue":{port}}}}}}}}}"#
+    );
+    let text = include_str!("recorded/enum.json").replace("SERVERS", &endpoint);
+    let program = Program::start("PROXY_ENUM", &text);
+    let asker = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    asker.connect(program.address()).expect("connected");
+    std::thread::spawn(move || {
+        let mut bytes = [0; 512];
+        for n in 0.. {
+            let Ok((length, peer)) = server.recv_from(&mut bytes) else { return };
+            bytes[2] = 0x81;
+            if n % 2 == 0 && server.send_to(&bytes[..length], peer).is_err() {
+                return;
+            }
+        }
+    });
+    const CALLS: usize = 30;
+    let start = Instant::now();
+    for id in 0..CALLS {
+        let digit = b'0' + (id % 10) as u8;
+        let mut query = vec![0, id as u8, 1, 0, 0, 1, 0, 0, 0, 0, 0, 0, 1, digit, 1, b'4', 4];
+        query.extend(b"e164\x04arpa\0\0\x23\0\x01");
+        asker.send(&query).expect("sent");
+    }
+    let mut answers = [0; CALLS];
+    let mut stood = 0;
+    let mut bytes = [0; 512];
+    asker.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    for _ in 0..CALLS {
+        asker.recv(&mut bytes).expect("an answer for each call");
+        answers[usize::from(bytes[1])] += 1;
+        stood += usize::from(bytes[3] & 15 == 0);
+    }
+    assert!(start.elapsed() < Duration::from_secs(9), "{:?}", start.elapsed());
+    // Nothing comes after the last answer, however late a name server is.
+    asker.set_read_timeout(Some(Duration::from_millis(500))).expect("a time-out");
+    assert!(asker.recv(&mut bytes).is_err(), "a second answer");
+    assert_eq!(answers, [1; CALLS]);
+    assert!(stood > 0, "the half that is answered stands");
+}
