--- a/proxy/tests/play/mod.rs
+++ b/proxy/tests/play/mod.rs
@@ -443,7 +443,9 @@
         if let Some(n) = word.strip_prefix('*') {
             return Ok(Token::Any(n.parse().map_err(|_| "*n")?));
         }
-        let pairs: Option<Vec<u8>> = (word.len() % 2 == 0)
+        let pairs: Option<Vec<u8>> = word
+            .len()
+            .is_multiple_of(2)
             .then(|| (0..word.len()).step_by(2).map(|i| u8::from_str_radix(word.get(i..i + 2)?, 16).ok()))
             .and_then(Iterator::collect);
         pairs.map(Token::Bytes).ok_or_else(|| format!("no bytes: {word}"))
