Refuse a late call at once when no server takes it, instead of holding it back

Checked in the code: 'allows' is the only way out and cannot pass. Ruled out: that holding them earns much. Conclusion: what is given up on is answered at once.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -557,8 +557,12 @@
             self.give_up(id, actions);
         }
         held.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
+        // A late call that no server will take, window or not, is given up on, and hears so at once.
+        let taken_late = self.servers.values().any(|s| s.ready && s.occup < LATE_BELOW);
         for (_, _, id, late) in held {
-            if let Some(server) = self.choose(id, late) {
+            if late && !taken_late {
+                self.give_up(id, actions);
+            } else if let Some(server) = self.choose(id, late) {
                 self.start(id, server, actions);
             }
         }
