Test a down server once a period, and give late calls no hope of down ones

Seen: on the ENUM front, one lost datagram made an only name server 'down' and kept it without a test for tens of seconds when calls were few: its window is a share of the usual starts. Checked with two silent name servers: no attempt between 0.7 s and the refusal at 2.9 s. All nodes together now send at least one test a period.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -317,7 +317,9 @@
             server.turn_starts = 0;
             server.notice_silence(now);
             let most = server.most_starts(now, even, &self.settings);
-            server.roll(now, self.target, most, even);
+            // All nodes together test a down server once a period, so that few calls do not mean no tests.
+            let least = server.down.as_ref().map_or(0.0, |_| 1.0 / f64::from(self.settings.nodes.max(1)));
+            server.roll(now, self.target, (least, most), even);
         }
     }
 
@@ -558,7 +560,7 @@
         }
         held.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
         // A late call that no server will take, window or not, is given up on, and hears so at once.
-        let taken_late = self.servers.values().any(|s| s.ready && s.occup < LATE_BELOW);
+        let taken_late = self.servers.values().any(|s| s.ready && s.down.is_none() && s.occup < LATE_BELOW);
         for (_, _, id, late) in held {
             if late && !taken_late {
                 self.give_up(id, actions);
@@ -698,7 +700,7 @@
     }
 
     /// Ends the call control period and, at its end, the OPPUI.
-    fn roll(&mut self, now: Time, target: f64, most: f64, even: f64) {
+    fn roll(&mut self, now: Time, target: f64, (least, most): (f64, f64), even: f64) {
         if now >= self.window.interval + OPPUI {
             self.update_window(now, target, even);
         }
@@ -706,7 +708,7 @@
             self.window.period += CC_PERIOD;
             // Departure: N stays within its bound; beyond it, a cut would not bite for some intervals.
             self.window.n = self.window.n.map(|n| n.min(most));
-            let n = self.window.n.unwrap_or(most);
+            let n = self.window.n.unwrap_or(most).max(least);
             self.window.credit = self.window.credit.min(1.0) + n;
         }
     }
