--- a/proxy/src/dns/message.rs
+++ b/proxy/src/dns/message.rs
@@ -222,23 +222,30 @@
         if flags & TC != 0 {
             return Reply::Truncated;
         }
-        match self.records_are_whole(bytes) {
-            Some(true) => Reply::Whole(code),
-            _ => Reply::Malformed,
+        match self.check_records(bytes) {
+            Some(0) => Reply::Whole(code),
+            // The upper part of the code stands in the OPT record: no such code is an answer.
+            Some(_) => Reply::Whole(BADVERS),
+            None => Reply::Malformed,
         }
     }
 
-    fn records_are_whole(&self, bytes: &[u8]) -> Option<bool> {
+    /// The upper part of the response code, or nothing where the records are not well formed.
+    fn check_records(&self, bytes: &[u8]) -> Option<u8> {
+        let mut upper = 0;
         let count = [6, 8, 10].iter().try_fold(0, |n, at| Some(n + u32::from(u16_at(bytes, *at)?)))?;
         let mut at = HEAD + self.question.len();
         for _ in 0..count {
             let r = record(bytes, at)?;
             if r.kind == TYPE_NAPTR && !naptr_is_whole(bytes, &r) {
-                return Some(false);
+                return None;
+            }
+            if r.kind == TYPE_OPT {
+                upper = (r.ttl >> 24) as u8;
             }
             at = r.end;
         }
-        Some(at == bytes.len())
+        (at == bytes.len()).then_some(upper)
     }
 
     /// A name server's answer as the asker gets it: its id, its question. Over UDP, what does not fit is
--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -150,7 +150,15 @@
         let mut todo = VecDeque::from(out);
         while let Some(output) = todo.pop_front() {
             match output {
-                Output::Reply(source, id, reply) => self.reply(source, id, reply),
+                Output::Reply(source, id, reply) => {
+                    let stands = matches!(reply, Reply::Stands(_));
+                    // Guards against a call that stands for a caller who was never told so.
+                    if !self.reply(source, id, reply) && stands {
+                        let mut more = Vec::new();
+                        self.engine.handle(now, Input::Left(id), &mut more);
+                        todo.extend(more);
+                    }
+                }
                 Output::Order(server, order) => {
                     let lost = match self.links.get(&server) {
                         Some(link) => link.orders.try_send(order).err().map(|e| e.into_inner()),
@@ -171,7 +179,8 @@
     }
 
     /// What follows a call that stood may go on any connection; an answer has only its own.
-    fn reply(&mut self, source: Option<Source>, id: CallId, reply: Reply) {
+    /// Says whether it has gone on its way.
+    fn reply(&mut self, source: Option<Source>, id: CallId, reply: Reply) -> bool {
         let anywhere = matches!(reply, Reply::Over(_));
         let own = source.filter(|s| self.callers.contains_key(s));
         let at = match anywhere {
@@ -190,8 +199,10 @@
             }
             None => Some((id, reply)),
         };
-        if let Some(lost) = lost.filter(|_| anywhere && self.undelivered.len() < self.limits.undelivered) {
+        let Some(lost) = lost else { return true };
+        if anywhere && self.undelivered.len() < self.limits.undelivered {
             self.undelivered.push_back(lost);
         }
+        false
     }
 }
