Release the calls that stood at a vanished machine

Checked: the machine vanished at 4.94 s, its connections stayed open and silent, and the list said so only at 16.32 s, past the 8 s that a release may take. Ruled out: releases lost on the way; the server sent none. At fault: the link learnt that a process was gone from a refused connect alone (sip/link.rs, Told::Failed). Now a link with calls standing connects anew after 2 s of silence, and after 2 s without reaching the server its calls are cut. The recorded test fills a listener's backlog, so that connects hang as they do there.

--- a/proxy/src/dns/link.rs
+++ b/proxy/src/dns/link.rs
@@ -124,7 +124,8 @@
     id: u16,
     bytes: &[u8],
 ) -> Result<Payload, Outcome> {
-    let stream = Async::<TcpStream>::connect(addr).await.map_err(|e| outcome(&e))?;
+    let connect = within(limits.connect, Async::<TcpStream>::connect(addr)).await;
+    let stream = connect.ok_or(Outcome::NoRoute)?.map_err(|e| outcome(&e))?;
     let framed = framed(bytes).ok_or(Outcome::NotSent)?;
     write_all(&stream, &framed, limits.write).await.map_err(|e| outcome(&e))?;
     let replies = messages(&stream, Decoder { most: usize::from(u16::MAX) }, limits.read);
--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -103,6 +103,8 @@
                 None => {}
             }
             self.carry_out(now, out);
+            // Guards the writers: they get their turn however many messages wait here.
+            future::yield_now().await;
             if grace.is_some_and(|at| now >= at) {
                 if self.engine.open() == 0 {
                     return;
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -32,6 +32,10 @@
     pub write: Duration,
     /// A server connection silent for so long after a set-up is passed over for the next.
     pub quiet: Time,
+    /// With calls standing at a server that says nothing for so long, a new connection shows whether it lives.
+    pub silent: Time,
+    /// A server that cannot be reached for so long has vanished, and its calls with it.
+    pub vanished: Time,
     /// Wait before a server or the command channel is connected to again.
     pub reconnect: Duration,
     /// Silence after which the command channel is connected to again.
@@ -72,6 +76,8 @@
             connect,
             write: Duration::from_secs(2),
             quiet: 1_000_000,
+            silent: 2_000_000,
+            vanished: 2_000_000,
             reconnect: Duration::from_millis(500),
             feed_silence: Duration::from_secs(3),
             margin: 20_000,
--- a/proxy/src/sip/link.rs
+++ b/proxy/src/sip/link.rs
@@ -10,7 +10,7 @@
 use async_io::{Async, Timer};
 use fernspan_core::{Outcome, Reason, ServerId, Time};
 use futures_lite::{StreamExt, future, pin};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -42,7 +42,10 @@
             next: 0,
             queue: VecDeque::new(),
             setups: BTreeMap::new(),
+            standing: BTreeSet::new(),
             connect_at: Some(unix_now()),
+            heard: unix_now(),
+            unreached: None,
             draining: false,
         };
         self.executor.spawn(link.run(to_do, told)).detach();
@@ -85,8 +88,14 @@
     next: u64,
     queue: VecDeque<Setup>,
     setups: BTreeMap<CallId, Out>,
-    /// When to connect again, while there is no connection.
+    /// Calls that stand at this server.
+    standing: BTreeSet<CallId>,
+    /// When to connect again.
     connect_at: Option<Time>,
+    /// When the server last gave any sign of life.
+    heard: Time,
+    /// Since when it cannot be reached.
+    unreached: Option<Time>,
     draining: bool,
 }
 
@@ -101,7 +110,7 @@
     /// Serves until the core drops its sender: the server is gone, or has moved.
     async fn run(mut self, orders: Receiver<Order>, told: Receiver<(u64, Told)>) {
         loop {
-            let wait = self.connect_at.map(|at| at.saturating_sub(unix_now()));
+            let wait = self.due().map(|at| at.saturating_sub(unix_now()));
             let next = future::or(
                 async { orders.recv().await.map_or(Next::End, Next::Order) },
                 future::or(async { told.recv().await.map_or(Next::End, |(c, t)| Next::Told(c, t)) }, async {
@@ -116,13 +125,7 @@
             let inputs = match next {
                 Next::Order(order) => self.order(order),
                 Next::Told(conn, told) => self.told(conn, told),
-                Next::Connect => {
-                    self.connect_at = None;
-                    if self.conns.is_empty() {
-                        self.connect();
-                    }
-                    Vec::new()
-                }
+                Next::Connect => self.look(),
                 Next::End => break,
             };
             self.report(inputs).await;
@@ -136,6 +139,35 @@
         self.report(inputs).await;
     }
 
+    /// When to connect: after a loss, or to see whether a silent server lives.
+    fn due(&self) -> Option<Time> {
+        if self.conns.values().any(|c| !c.up) {
+            return None;
+        }
+        // Guards against a machine that has vanished with its calls: nobody else tells of it in time, and
+        // its connections stay open and silent.
+        let silent = self.heard + self.shared.limits.silent;
+        let silent = Some(silent).filter(|_| !self.standing.is_empty());
+        self.connect_at.into_iter().chain(silent).min()
+    }
+
+    fn look(&mut self) -> Vec<Input> {
+        self.connect_at = None;
+        let busy: BTreeSet<u64> = self.setups.values().map(|o| o.conn).collect();
+        if self.conns.len() >= self.shared.limits.server_conns {
+            match self.conns.keys().copied().find(|id| !busy.contains(id)) {
+                Some(idle) => drop(self.conns.remove(&idle)),
+                // All have set-ups open: these end by their own deadlines first.
+                None => {
+                    self.heard = unix_now();
+                    return Vec::new();
+                }
+            }
+        }
+        self.connect();
+        Vec::new()
+    }
+
     async fn report(&self, inputs: Vec<Input>) {
         for input in inputs {
             if self.core.send(hub::Message::Input(input)).await.is_err() {
@@ -155,6 +187,7 @@
                 Vec::new()
             }
             Order::Release(call, cause) => {
+                self.standing.remove(&call);
                 if let Some(conn) = self.best() {
                     self.write(conn, bye(call, cause));
                 }
@@ -256,6 +289,7 @@
                 c.up = true;
                 c.opened = unix_now();
                 c.heard = c.opened;
+                self.lives();
                 self.retire(conn);
                 let queue = match self.draining {
                     true => return self.fail_queue(Outcome::NotSent),
@@ -268,8 +302,17 @@
                 if !self.conns.values().any(|c| !c.up) {
                     inputs.extend(self.fail_queue(Outcome::NoRoute));
                 }
-                // Nobody listens any more: the process is gone, and what stood there with it.
-                if kind == io::ErrorKind::ConnectionRefused && self.conns.is_empty() {
+                let now = unix_now();
+                self.connect_at = Some(now + self.shared.limits.reconnect.as_micros() as Time);
+                let since = *self.unreached.get_or_insert(now);
+                // Nobody listens any more, or nothing comes through: the process is gone, and what stood
+                // there with it.
+                let dead = kind == io::ErrorKind::ConnectionRefused && self.conns.is_empty();
+                if dead || now - since >= self.shared.limits.vanished {
+                    let open: Vec<u64> = self.conns.keys().copied().collect();
+                    inputs.extend(open.into_iter().flat_map(|c| self.lose(c)).collect::<Vec<_>>());
+                    self.connect_at = Some(now + self.shared.limits.reconnect.as_micros() as Time);
+                    self.standing.clear();
                     inputs.push(Input::Died(self.server));
                 }
                 inputs
@@ -280,11 +323,17 @@
                     c.heard = unix_now();
                     c.asked = None;
                 }
+                self.lives();
                 self.message(conn, message)
             }
         }
     }
 
+    fn lives(&mut self) {
+        self.heard = unix_now();
+        self.unreached = None;
+    }
+
     /// Closes older connections that have nothing open, once a new one is up.
     fn retire(&mut self, newest: u64) {
         let busy: Vec<u64> = self.setups.values().map(|o| o.conn).collect();
@@ -316,6 +365,7 @@
                 "BYE" => {
                     self.write(conn, m.response("200 OK"));
                     let Some(id) = m.call() else { return Vec::new() };
+                    self.standing.remove(&id);
                     let cause = m.cause().unwrap_or(CAUSE_NORMAL);
                     vec![Input::Over { id, server: self.server, cause, report: m.report() }]
                 }
@@ -342,12 +392,11 @@
         let number = out.as_ref().map_or("unknown", |o| &o.number);
         self.write(conn, follow_up("ACK", number, call, sequence, ""));
         match out {
-            Some(o) if status < 300 => vec![Input::Stood {
-                id: call,
-                attempt: o.attempt,
-                server: self.server,
-                payload: m.body.into(),
-            }],
+            Some(o) if status < 300 => {
+                self.standing.insert(call);
+                let (attempt, payload) = (o.attempt, m.body.into());
+                vec![Input::Stood { id: call, attempt, server: self.server, payload }]
+            }
             Some(o) => vec![self.ended(call, o.attempt, refusal(status, &m, self.shared.gives_wait))],
             // Guards against an answer that crossed its CANCEL: nobody waits for this call here.
             None if status < 300 => {
--- a/proxy/tests/play/mod.rs
+++ b/proxy/tests/play/mod.rs
@@ -105,6 +105,7 @@
     accepted: HashMap<String, usize>,
     ends: HashMap<String, End>,
     captured: HashMap<String, Vec<u8>>,
+    filling: Vec<TcpStream>,
 }
 
 /// Plays one file.
@@ -141,6 +142,11 @@
         let (what, bytes) = rest.split_once(' ').unwrap_or((rest, ""));
         match (who, what) {
             ("platform" | "enum", _) => self.start(who, rest),
+            ("lists", _) => {
+                let text = OPERATOR.replace("SERVERS", &self.endpoints(rest)?);
+                let program = self.program.as_ref().ok_or("no program")?;
+                std::fs::write(&program.file, text).map_err(|e| e.to_string())?;
+            }
             ("wait", ms) => std::thread::sleep(Duration::from_millis(ms.parse().map_err(|_| "wait")?)),
             ("terminate", _) => {
                 let id = self.program.as_ref().ok_or("no program")?.child.id().to_string();
@@ -157,6 +163,7 @@
             (_, ">1") => self.send(who, bytes, 1)?,
             (_, "<") => self.expect(who, bytes)?,
             (_, "closes") => drop(self.ends.remove(who)),
+            (_, "hangs") => self.hang(who)?,
             (_, "stops") => drop(self.listeners.remove(who)),
             (_, "closed") => self.closed(who)?,
             (_, "quiet") => self.quiet(who, bytes)?,
@@ -169,18 +176,12 @@
     fn start(&mut self, what: &str, servers: &str) {
         let mut listed = Vec::new();
         for (i, name) in servers.split_whitespace().enumerate() {
+            let name = name.split('=').next().unwrap_or(name);
             let listener = listener();
             let at = listener.local_addr().expect("bound");
-            listed.push(match what {
-                "platform" => format!(
-                    r#"{{"id":"{name}","addr":"{at}","zone":"z","kind":"k","cell":{i},"state":"SERVING","started_ms":0}}"#
-                ),
-                _ => format!(
-                    r#"{{"endpoint":{{"address":{{"socket_address":{{"address":"{}","port_value":{}}}}}}}}}"#,
-                    at.ip(),
-                    at.port()
-                ),
-            });
+            listed.push(format!(
+                r#"{{"id":"{name}","addr":"{at}","zone":"z","kind":"k","cell":{i},"state":"SERVING","started_ms":0}}"#
+            ));
             if what == "enum" {
                 let socket = UdpSocket::bind(at).expect("the port is free for UDP as well");
                 socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
@@ -191,14 +192,33 @@
         let channel = listener();
         let at = channel.local_addr().expect("bound").to_string();
         self.listeners.insert("channel".to_owned(), channel);
-        let (variable, text) =
-            if what == "enum" { ("PROXY_ENUM", OPERATOR) } else { ("PROXY_CONFIG", CONFIG) };
-        let text = text.replace("SERVERS", &listed.join(",")).replace("CHANNEL", &at);
+        let (variable, text) = if what == "enum" {
+            let endpoints = self.endpoints(servers).expect("endpoints");
+            ("PROXY_ENUM", OPERATOR.replace("SERVERS", &endpoints))
+        } else {
+            ("PROXY_CONFIG", CONFIG.replace("SERVERS", &listed.join(",")).replace("CHANNEL", &at))
+        };
         let program = Program::start(variable, &text);
         self.address = Some(program.address());
         self.program = Some(program);
     }
 
+    /// Name servers in xDS form, as in `ns1 ns2=DRAINING`.
+    fn endpoints(&self, servers: &str) -> Result<String, String> {
+        let mut listed = Vec::new();
+        for server in servers.split_whitespace() {
+            let (name, health) = server.split_once('=').unwrap_or((server, "UNKNOWN"));
+            let at =
+                self.listeners.get(name).ok_or("no such server")?.local_addr().map_err(|e| e.to_string())?;
+            listed.push(format!(
+                r#"{{"endpoint":{{"address":{{"socket_address":{{"address":"{}","port_value":{}}}}}}},"healthStatus":"{health}"}}"#,
+                at.ip(),
+                at.port()
+            ));
+        }
+        Ok(listed.join(","))
+    }
+
     /// The end of that name, opened where it is new: `caller1` connects, `s1` and `s1.2` accept.
     fn end(&mut self, who: &str) -> Result<&mut End, String> {
         if !self.ends.contains_key(who) {
@@ -324,6 +344,15 @@
         Ok(Some(at))
     }
 
+    /// Fills a server's backlog: as with a vanished machine, its connections stay and new ones never come up.
+    fn hang(&mut self, who: &str) -> Result<(), String> {
+        let at = self.listeners.get(who).ok_or("no such server")?.local_addr().map_err(|e| e.to_string())?;
+        while let Ok(stream) = TcpStream::connect_timeout(&at, Duration::from_millis(300)) {
+            self.filling.push(stream);
+        }
+        Ok(())
+    }
+
     fn closed(&mut self, who: &str) -> Result<(), String> {
         let End::Stream(stream, kept) = self.end(who)? else { return Err("no connection".to_owned()) };
         stream.set_read_timeout(Some(PATIENCE)).map_err(|e| e.to_string())?;
--- a/proxy/tests/recorded.rs
+++ b/proxy/tests/recorded.rs
@@ -16,8 +16,8 @@
 }
 
 recorded! {
-    call garbage refusals crossings standing reset drain stop
-    enum_answers enum_late enum_tcp enum_errors
+    call garbage refusals crossings standing reset vanish drain stop
+    enum_answers enum_late enum_tcp enum_errors enum_health
 }
 
 #[test]
@@ -37,6 +37,15 @@
     }
 }
 
+/// The operator's files of this repository, but for their ports, which may be taken.
+#[test]
+fn the_files_in_the_repository_are_good() {
+    for text in [include_str!("../../deploy/enum.json"), include_str!("../../example/enum.json")] {
+        let any_port = text.replace("127.0.0.1:5353", "127.0.0.1:0").replace("127.0.0.1:5454", "127.0.0.1:0");
+        assert!(Program::start("PROXY_ENUM", &any_port).address().port() > 0);
+    }
+}
+
 /// The name server answers every other query it gets and is silent on the rest.
 #[test]
 fn with_half_the_answers_stalled_every_call_ends_once_before_9_s() {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -212,6 +212,26 @@
     assert!(warm > cold, "{warm}, {cold} before");
 }
 
+#[test]
+fn a_down_server_is_tested_once_a_period_however_few_the_calls() {
+    let mut s = Script::new(Settings { nodes: 1, ..settings() }, 1);
+    let mut waits = Vec::new();
+    for id in 0..10 {
+        let from = s.now;
+        let mut acts = s.event(Event::Call(call(id, 0)));
+        while starts(&acts).is_empty() && s.now < from + 3 * S {
+            acts = s.pass(100 * MS);
+        }
+        waits.push(s.now - from);
+        // Silent, with a call each 3 s: a share of the usual starts would be one in 20 s.
+        s.pass(400 * MS);
+        s.ended(id, 0, 0, Outcome::Timeout);
+        s.event(Event::Left(id));
+        s.pass(3 * S);
+    }
+    assert!(waits.iter().all(|w| *w <= 1_200 * MS), "{waits:?}");
+}
+
 #[test]
 fn a_replacement_is_met_by_what_its_place_took_before_it_drained() {
     let mut s = Script::new(settings(), 4);
@@ -288,8 +308,11 @@
             s.pass(50 * MS);
         }
         s.pass(1100 * MS);
-        let late = starts(&s.event(Event::Call(NewCall { redialled: true, ..call(100, 0) })));
-        assert_eq!(late.len() == 1, taken, "at {occupancy}");
+        let late = s.event(Event::Call(NewCall { redialled: true, ..call(100, 0) }));
+        assert_eq!(starts(&late).len() == 1, taken, "at {occupancy}");
+        // What no server takes is not held back until its caller gives up.
+        let refused = Action::Refuse { call: 100, hold_off: Some(2 * S) };
+        assert_eq!(late.contains(&refused), !taken, "at {occupancy}");
         s.pass(50 * MS);
         assert_eq!(starts(&s.event(Event::Call(call(101, 0)))), [(101, 0)]);
     }
