Send a release that crosses the end of its connection on another one

The connection now hands back what it has not written, and the hub tries the next one before it keeps it for a connection to come. The tests' waits are longer, for slow machines.

--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -26,6 +26,8 @@
     Input(Input),
     /// A caller's connection, and where its replies go.
     Open(Source, Sender<(CallId, Reply)>),
+    /// A connection ended before this could be written to it.
+    Undelivered(CallId, Reply),
     List(ListKind, Vec<ListedServer>),
     /// SIGTERM.
     Stop,
@@ -95,6 +97,7 @@
                     self.engine.handle(now, input, &mut out);
                 }
                 Some(Message::Open(source, replies)) => self.caller_opened(source, replies),
+                Some(Message::Undelivered(id, reply)) => out.push(Output::Reply(None, id, reply)),
                 Some(Message::List(kind, servers)) => self.list(now, kind, servers, &mut out),
                 Some(Message::Stop) => {
                     self.engine.handle(now, Input::Stop(now + self.limits.stop), &mut out);
@@ -184,26 +187,21 @@
     /// Says whether it has gone on its way.
     fn reply(&mut self, source: Option<Source>, id: CallId, reply: Reply) -> bool {
         let anywhere = matches!(reply, Reply::Over(_));
-        let own = source.filter(|s| self.callers.contains_key(s));
-        let at = match anywhere {
-            true => own.or(self.newest.filter(|s| self.callers.contains_key(s))),
-            false => own,
-        };
-        let at = at.or_else(|| self.callers.keys().max().copied().filter(|_| anywhere));
-        let lost = match at.and_then(|s| self.callers.get(&s).map(|tx| (s, tx))) {
-            Some((s, tx)) => {
-                let lost = tx.try_send((id, reply)).err().map(|e| e.into_inner());
-                // Guards against a caller that does not read: its connection ends, not this program.
-                if lost.is_some() {
-                    self.callers.remove(&s);
-                }
-                lost
-            }
-            None => Some((id, reply)),
-        };
-        let Some(lost) = lost else { return true };
+        let mut item = (id, reply);
+        loop {
+            let open = |s: &Source| self.callers.contains_key(s);
+            let own = source.filter(open);
+            let any = || self.newest.filter(open).or_else(|| self.callers.keys().max().copied());
+            let Some(at) = (if anywhere { own.or_else(any) } else { own }) else { break };
+            let Some(Err(back)) = self.callers.get(&at).map(|tx| tx.try_send(item.clone())) else {
+                return true;
+            };
+            // Guards against a caller that does not read: its connection ends, not this program.
+            self.callers.remove(&at);
+            item = back.into_inner();
+        }
         if anywhere && self.undelivered.len() < self.limits.undelivered {
-            self.undelivered.push_back(lost);
+            self.undelivered.push_back(item);
         }
         false
     }
--- a/proxy/src/isup/front.rs
+++ b/proxy/src/isup/front.rs
@@ -10,6 +10,7 @@
 use async_io::Async;
 use fernspan_core::{Place, Time};
 use futures_lite::{StreamExt, future, pin};
+use std::cell::RefCell;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 
@@ -75,16 +76,16 @@
         })
     }
 
-    fn encode(&self, call: CallId, reply: Reply) -> Option<Vec<u8>> {
+    fn encode(&self, call: CallId, reply: &Reply) -> Option<Vec<u8>> {
         let release = |cause: u8| Message::new(RELEASE, call).with(CAUSE, &[cause]);
         let message = match reply {
-            Reply::Stands(description) => Message::new(ANSWER, call).with(DESCRIPTION, &description),
+            Reply::Stands(description) => Message::new(ANSWER, call).with(DESCRIPTION, description),
             Reply::Refused(None) => release(CAUSE_REFUSED),
             Reply::Refused(Some(wait)) => {
                 release(CAUSE_REFUSED).with(COME_BACK, (wait / 1000).to_string().as_bytes())
             }
             Reply::Failed => release(CAUSE_FAILED),
-            Reply::Over(cause) => release(cause),
+            Reply::Over(cause) => release(*cause),
             Reply::Heard => Message::new(HEARD, call),
         };
         message.encode(self.limits.message)
@@ -136,26 +137,40 @@
                 }
             }
         };
-        future::or(reading, self.write(&stream, to_write, to_test)).await;
+        let in_hand = RefCell::new(Vec::new());
+        future::or(reading, self.write(&stream, &to_write, to_test, &in_hand)).await;
+        // Guards against a release that crosses the end of its connection: it goes on another one.
+        to_write.close();
+        let mut left = in_hand.into_inner();
+        left.extend(std::iter::from_fn(|| to_write.try_recv().ok()));
+        for (call, reply) in left.into_iter().filter(|(_, reply)| matches!(reply, Reply::Over(_))) {
+            let _ = self.core.send(hub::Message::Undelivered(call, reply)).await;
+        }
         let _ = self.core.send(hub::Message::Input(Input::SourceGone(source))).await;
     }
 
+    /// Writes replies, which are kept `in_hand` until they are out.
     async fn write(
         &self,
         stream: &Async<TcpStream>,
-        replies: Receiver<(CallId, Reply)>,
+        replies: &Receiver<(CallId, Reply)>,
         own: Receiver<Message>,
+        in_hand: &RefCell<Vec<(CallId, Reply)>>,
     ) {
         loop {
-            let reply = async { replies.recv().await.ok().map(|(call, reply)| self.encode(call, reply)) };
-            let own = async { own.recv().await.ok().map(|m| m.encode(self.limits.message)) };
-            let Some(mut bytes) = future::or(reply, own).await.map(Option::unwrap_or_default) else { return };
-            while let Ok((call, reply)) = replies.try_recv() {
-                bytes.extend(self.encode(call, reply).unwrap_or_default());
+            let reply = async { replies.recv().await.ok().map(|r| (Some(r), None)) };
+            let own = async { own.recv().await.ok().map(|m| (None, Some(m))) };
+            let Some((reply, own)) = future::or(reply, own).await else { return };
+            let mut bytes = own.and_then(|m| m.encode(self.limits.message)).unwrap_or_default();
+            let all = reply.into_iter().chain(std::iter::from_fn(|| replies.try_recv().ok()));
+            in_hand.borrow_mut().extend(all);
+            for (call, reply) in in_hand.borrow().iter() {
+                bytes.extend(self.encode(*call, reply).unwrap_or_default());
             }
             if write_all(stream, &bytes, self.limits.write).await.is_err() {
                 return;
             }
+            in_hand.borrow_mut().clear();
         }
     }
 }
--- a/proxy/tests/recorded.rs
+++ b/proxy/tests/recorded.rs
@@ -28,7 +28,7 @@
         ("PROXY_CONFIG", "{}", "settings is missing"),
         ("PROXY_ENUM", &enum_file.replace("\"cluster\":\"c\"", "\"cluster\":\"d\""), "there is no Cluster d"),
         ("PROXY_ENUM", &enum_file.replace("[]", "[{\"health_status\":\"ILL\"}]"), "no socket_address"),
-        ("PROXY_ENUM", &enum_file.replace("3000", "9001"), "patience_ms cannot be over 9000"),
+        ("PROXY_ENUM", &enum_file.replace("6000", "9001"), "patience_ms cannot be over 9000"),
     ] {
         let mut program = Program::start(variable, text);
         let said = program.says();
