--- a/proxy/src/dns/link.rs
+++ b/proxy/src/dns/link.rs
@@ -21,10 +21,6 @@
 /// What all name servers' links share.
 pub struct NameServers {
     pub limits: Limits,
-    /// An attempt that is not answered by then has timed out.
-    pub attempt: Duration,
-    /// Attempts out at one name server; more are not sent.
-    pub most_out: usize,
     pub executor: Rc<LocalExecutor<'static>>,
 }
 
@@ -52,7 +48,7 @@
         out.retain(|_, (_, task)| !task.is_finished());
         match order {
             // Guards against a second queue in front of a slow name server.
-            Order::Start(setup) if out.len() >= shared.most_out => {
+            Order::Start(setup) if out.len() >= shared.limits.out_per_server => {
                 let end = End::plain(Outcome::NotSent);
                 tell(&core, Input::Ended { id: setup.id, attempt: setup.attempt, server, end }).await;
             }
@@ -87,7 +83,7 @@
     setup: Setup,
 ) {
     let Setup { id, attempt, patience, payload, .. } = setup;
-    let limit = shared.attempt.min(Duration::from_micros(patience));
+    let limit = shared.limits.attempt.min(Duration::from_micros(patience));
     let answer = within(limit, look_up(&shared.limits, addr, &payload)).await;
     match answer.unwrap_or(Err(Outcome::Timeout)) {
         Ok(payload) => {
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -22,6 +22,10 @@
     pub idle: Duration,
     /// Calls without a final answer at most; more are refused at once.
     pub open_calls: usize,
+    /// Time-out of one look-up at a name server.
+    pub attempt: Duration,
+    /// Look-ups out at one name server at most; more are not sent.
+    pub out_per_server: usize,
     /// How often the operator's file is looked at.
     pub watch: Duration,
     /// Connections to one server at most.
@@ -71,6 +75,8 @@
             askers: 64,
             idle: Duration::from_secs(10),
             open_calls,
+            attempt: Duration::from_millis(800),
+            out_per_server: 64,
             watch: Duration::from_secs(1),
             server_conns: 4,
             connect,
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -58,7 +58,7 @@
     }
     if let Some((path, text)) = file_of("PROXY_ENUM")? {
         let operator = operator::read(&text).map_err(|e| format!("{path}: {e}"))?;
-        let limits = Limits::new(1024, operator.open, operator.cluster.connect_timeout);
+        let limits = operator.limits();
         flush = limits.flush;
         serving.push(enumeration(operator, limits, path, text, &executor).await?);
     }
@@ -136,12 +136,7 @@
     executor: &Executor,
 ) -> Result<Serving, String> {
     let (queue, messages) = async_channel::bounded(limits.core_queue);
-    let backend = dns::link::NameServers {
-        limits: limits.clone(),
-        attempt: operator.attempt,
-        most_out: operator.most_out,
-        executor: executor.clone(),
-    };
+    let backend = dns::link::NameServers { limits: limits.clone(), executor: executor.clone() };
     let seed = match operator.seed {
         Some(seed) => seed,
         None => getrandom::u64().map_err(|e| format!("no random numbers: {e}"))?,
--- a/proxy/src/operator.rs
+++ b/proxy/src/operator.rs
@@ -1,6 +1,7 @@
 //! The operator's file: the ENUM front's settings, and its name servers in xDS form.
 
 use crate::hub::Message;
+use crate::limits::Limits;
 use crate::xds::{self, Cluster};
 use async_channel::Sender;
 use async_io::Timer;
@@ -29,6 +30,17 @@
     pub cluster: Cluster,
 }
 
+/// Descriptors that the front may hold.
+const SOCKETS: usize = 1024;
+
+impl Operator {
+    /// The program's limits, with what the file says of them.
+    pub fn limits(&self) -> Limits {
+        let limits = Limits::new(SOCKETS, self.open, self.cluster.connect_timeout);
+        Limits { attempt: self.attempt, out_per_server: self.most_out, ..limits }
+    }
+}
+
 /// No call may last longer, whatever the file says.
 const PATIENCE_MOST: u64 = 9_000;
 
