Read the configuration again on SIGHUP and move the command channel

Now the file is read again, the feed goes to the new channel from the last number that the core has, and a bad file is named and changes nothing. The feed notes a number only once the core has the event, as a move may drop its wait. Its silence, retry and connect time now add up to 3.4 s, under the 4 s after which a stop counts as told (before: 3 + 0.5 + up to 3 s).

--- a/proxy/src/feed.rs
+++ b/proxy/src/feed.rs
@@ -3,11 +3,11 @@
 use crate::hub::{ListedServer, Message};
 use crate::limits::Limits;
 use crate::net::{Decode, WireError, messages, within, write_all};
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use fernspan_core::{Entry, ListKind, State};
 use fernspan_settings::json::{self, Value};
-use futures_lite::{StreamExt, pin};
+use futures_lite::{StreamExt, future, pin};
 use std::net::{SocketAddr, TcpStream};
 
 /// One event: its number and what it says.
@@ -90,23 +90,40 @@
     pub core: Sender<Message>,
     /// Number of the last event that is known.
     pub last: u64,
+    /// Where the channel is after a reload.
+    pub moves: Receiver<SocketAddr>,
 }
 
 impl Feed {
     /// Follows the channel for ever, from the last known event on.
     pub async fn run(mut self) {
+        let moves = self.moves.clone();
         loop {
-            if let Err(e) = self.follow().await {
-                eprintln!("command channel: {e}");
+            let followed = async {
+                if let Err(e) = self.follow().await {
+                    eprintln!("command channel: {e}");
+                }
+                Timer::after(self.limits.feed_retry).await;
+                None
+            };
+            // Without a reload to come it waits here for ever, as it should.
+            let moved = async {
+                match moves.recv().await {
+                    Ok(addr) => Some(addr),
+                    Err(_) => future::pending().await,
+                }
+            };
+            // A move drops the old connection and goes on from the last event.
+            if let Some(addr) = future::or(moved, followed).await {
+                self.addr = addr;
             }
-            Timer::after(self.limits.reconnect).await;
         }
     }
 
     async fn follow(&mut self) -> Result<(), WireError> {
         let silent = || WireError::Io(std::io::ErrorKind::TimedOut.into());
         let connect = Async::<TcpStream>::connect(self.addr);
-        let stream = within(self.limits.feed_silence, connect).await.ok_or_else(silent)??;
+        let stream = within(self.limits.feed_connect, connect).await.ok_or_else(silent)??;
         let _ = stream.get_ref().set_nodelay(true);
         write_all(&stream, format!("resume {}\n", self.last).as_bytes(), self.limits.write).await?;
         // A line holds a whole list, so its limit is its own.
@@ -121,10 +138,11 @@
                     return Err(WireError::Malformed("gap in the events"));
                 }
                 Line::Event(e) if e.cursor == self.last + 1 => {
-                    self.last = e.cursor;
                     if self.core.send(Message::List(e.kind, e.servers)).await.is_err() {
                         return Ok(());
                     }
+                    // After the core has it: a reload may drop this task's wait for room in the queue.
+                    self.last = e.cursor;
                 }
                 Line::Last(_) | Line::Event(_) => {}
             }
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -40,10 +40,15 @@
     pub silent: Time,
     /// A server that cannot be reached for so long has vanished, and its calls with it.
     pub vanished: Time,
-    /// Wait before a server or the command channel is connected to again.
+    /// Wait before a server is connected to again.
     pub reconnect: Duration,
-    /// Silence after which the command channel is connected to again.
+    /// Silence after which the command channel is connected to again. It says something every second, and
+    /// what it tells counts as told 4 s after it has stopped: this, the retry and a connect stay under that.
     pub feed_silence: Duration,
+    /// Wait before the command channel is connected to again. After a break, that and a connect have 2 s.
+    pub feed_retry: Duration,
+    /// A connection to the command channel that is not up by then failed.
+    pub feed_connect: Duration,
     /// The engine answers this long before the caller stops waiting.
     pub margin: Time,
     /// Ended calls that are remembered.
@@ -85,7 +90,9 @@
             silent: 2_000_000,
             vanished: 2_000_000,
             reconnect: Duration::from_millis(500),
-            feed_silence: Duration::from_secs(3),
+            feed_silence: Duration::from_millis(2_200),
+            feed_retry: Duration::from_millis(200),
+            feed_connect: Duration::from_secs(1),
             margin: 20_000,
             remembered: 50_000,
             undelivered: 10_000,
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -19,7 +19,7 @@
 use crate::engine::Engine;
 use crate::hub::{Core, Message};
 use crate::limits::Limits;
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
@@ -47,14 +47,19 @@
 
 /// Reads what is configured and serves until SIGTERM.
 async fn start(executor: Executor) -> Result<(), String> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+    // Guards against the end of the process on SIGHUP: a reload must lose no call.
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
     let mut serving: Vec<Serving> = Vec::new();
     let mut flush = Duration::ZERO;
+    let mut reload = None;
     if let Some((path, text)) = file_of("PROXY_CONFIG")? {
         let config = config::read(&text).map_err(|e| format!("{path}: {e}"))?;
         let limits = Limits::new(config.sockets, config.open_calls, config.connect);
         flush = limits.flush;
-        serving.push(platform(config, limits, &executor).await?);
+        let (channels, moves) = async_channel::bounded(1);
+        serving.push(platform(config, limits, moves, &executor).await?);
+        reload = Some((path, channels));
     }
     if let Some((path, text)) = file_of("PROXY_ENUM")? {
         let operator = operator::read(&text).map_err(|e| format!("{path}: {e}"))?;
@@ -67,9 +72,17 @@
     }
     let queues: Vec<Sender<Message>> = serving.iter().map(|s| s.0.clone()).collect();
     let stop = async {
-        if signals.next().await.is_some() {
-            for queue in queues {
-                let _ = queue.send(Message::Stop).await;
+        while let Some(signal) = signals.next().await {
+            match (signal, &reload) {
+                // The operator's file is looked at all the time and needs no signal.
+                (Ok(Signal::Hup), None) => {}
+                (Ok(Signal::Hup), Some((path, channels))) => read_again(path, channels),
+                _ => {
+                    for queue in &queues {
+                        let _ = queue.send(Message::Stop).await;
+                    }
+                    break;
+                }
             }
         }
         future::pending().await
@@ -92,8 +105,25 @@
     Ok(Some((path, text)))
 }
 
+/// SIGHUP: the command channel has moved. All else stays as it was started; a bad file changes nothing.
+fn read_again(path: &str, channels: &Sender<SocketAddr>) {
+    let text = std::fs::read_to_string(path).map_err(|e| e.to_string());
+    match text.and_then(|text| config::read(&text)) {
+        Ok(config) => {
+            eprintln!("{path}: read again, the command channel is at {}", config.channel);
+            let _ = channels.force_send(config.channel);
+        }
+        Err(e) => eprintln!("{path}: {e}; the configuration stays as it is"),
+    }
+}
+
 /// The platform's protocol: callers in front, setup servers behind, the command channel beside them.
-async fn platform(config: config::Config, limits: Limits, executor: &Executor) -> Result<Serving, String> {
+async fn platform(
+    config: config::Config,
+    limits: Limits,
+    moves: Receiver<SocketAddr>,
+    executor: &Executor,
+) -> Result<Serving, String> {
     let (queue, messages) = async_channel::bounded(limits.core_queue);
     let patience = config.start.settings.classes.iter().map(|c| c.limit).collect();
     let setups = sip::link::Setups {
@@ -117,6 +147,7 @@
         limits: limits.clone(),
         core: queue.clone(),
         last: config.cursor,
+        moves,
     };
     executor.spawn(feed.run()).detach();
     let listener = listen(config.listen)?;
--- a/proxy/tests/play/mod.rs
+++ b/proxy/tests/play/mod.rs
@@ -144,13 +144,21 @@
             ("platform" | "enum", _) => self.start(who, rest),
             ("lists", _) => {
                 let text = OPERATOR.replace("SERVERS", &self.endpoints(rest)?);
-                let program = self.program.as_ref().ok_or("no program")?;
-                std::fs::write(&program.file, text).map_err(|e| e.to_string())?;
+                self.rewrite(text)?;
             }
             ("wait", ms) => std::thread::sleep(Duration::from_millis(ms.parse().map_err(|_| "wait")?)),
-            ("terminate", _) => {
-                let id = self.program.as_ref().ok_or("no program")?.child.id().to_string();
-                Command::new("kill").args(["-TERM", &id]).status().map_err(|e| e.to_string())?;
+            ("terminate", _) => self.signal("-TERM")?,
+            // The channel of that name, or no configuration at all; then the reload.
+            ("reload", "bad") => {
+                self.rewrite("{".to_owned())?;
+                self.signal("-HUP")?;
+            }
+            ("reload", channel) => {
+                let listener = listener();
+                let at = listener.local_addr().map_err(|e| e.to_string())?;
+                self.listeners.insert(channel.to_owned(), listener);
+                self.rewrite(CONFIG.replace("SERVERS", "").replace("CHANNEL", &at.to_string()))?;
+                self.signal("-HUP")?;
             }
             ("exits", code) => {
                 let found = self.program.as_mut().ok_or("no program")?.exit_code();
@@ -172,6 +180,17 @@
         Ok(())
     }
 
+    fn signal(&self, name: &str) -> Result<(), String> {
+        let id = self.program.as_ref().ok_or("no program")?.child.id().to_string();
+        Command::new("kill").args([name, &id]).status().map(drop).map_err(|e| e.to_string())
+    }
+
+    /// Puts another text into the program's file.
+    fn rewrite(&self, text: String) -> Result<(), String> {
+        let program = self.program.as_ref().ok_or("no program")?;
+        std::fs::write(&program.file, text).map_err(|e| e.to_string())
+    }
+
     /// Starts the program with these servers, all of them listed as serving.
     fn start(&mut self, what: &str, servers: &str) {
         let mut listed = Vec::new();
