--- a/src/choice.rs
+++ b/src/choice.rs
@@ -44,16 +44,21 @@
 const TARGET_OF_REPEAT: f64 = 0.75;
 /// One turn, us (ours): how often held calls are looked at.
 const TURN: Time = 25_000;
-/// `max_calls_per_entry`, starts per server and turn (paper).
-const STARTS_PER_TURN: u32 = 1;
+/// A held call that expires within this is given up, and one that was not sent waits half of it, us (ours).
+const MARGIN: Time = 50_000;
+/// `max_calls_per_entry`, starts per server and turn (paper). Departure: a window that holds more calls than
+/// its period has turns must let out more, or a busy node cannot use the only server that is left to it.
+const STARTS_PER_TURN: f64 = 1.0;
+/// Room over an even spread of the window's calls in a turn, ratio (ours).
+const TURN_ROOM: f64 = 1.25;
 /// Skip of a server that answered full, us (design: at least a quarter second).
 const FULL_SKIP: Time = 250_000;
 /// Longest skip that a stated wait may cause, us (ours).
 const FULL_SKIP_MOST: Time = 2_000_000;
 /// A server with calls out that has said nothing for this long is taken for silent, us (ours).
 const SILENT: Time = 1_000_000;
-/// A turn that comes later than this is the node's own stall, us (ours): four turns.
-const OWN_STALL: Time = 4 * TURN;
+/// A turn that comes later than this is the node's own stall, us (ours).
+const OWN_STALL: Time = 100_000;
 /// A server that was down for longer comes back cold, us (ours): a mere pause is shorter.
 const COLD_AFTER: Time = 3_000_000;
 /// Part of the stated fall multiple that cold windows may use, ratio (ours): burst and error of the usual.
@@ -65,6 +70,8 @@
 /// Occupancy below which a server takes calls that would stand late, ratio (ours): they earn little, and at
 /// a server that is only just loaded they take the room of the fresh calls of other nodes.
 const LATE_BELOW: f64 = 0.3;
+/// Share of errors among a server's latest answers from which it is ill, ratio (ours): the least window then.
+const ILL: f64 = 0.5;
 /// Calls a tenant may be ahead of its share before the rest count as beyond it (ours).
 const TENANT_SLACK: f64 = 3.0;
 
@@ -127,6 +134,8 @@
     /// Starts left in this period. Departure: up to one call of it, and what rounding N down leaves over,
     /// goes to the next period, as N is a few calls at most and often less than one.
     credit: f64,
+    /// Starts in one turn at most, rounded up.
+    per_turn: f64,
     /// Where in a period this node begins, as a share of it; keeps the nodes out of step.
     phase: f64,
     interval: Time,
@@ -169,6 +178,8 @@
     /// When the latest set-up went out that was answered.
     answered_sent: Time,
     down: Option<Down>,
+    /// Share of errors among its latest answers.
+    ill: f64,
     floor: f64,
     delay: f64,
     /// Starts per call control period that this place took in good times.
@@ -192,6 +203,8 @@
     attempts: u32,
     phase: Phase,
     called_off: bool,
+    /// The server that answered it with an error last.
+    erred: Option<ServerId>,
     /// Zone and place that may have run it, and when it went there.
     may_run: Option<(u32, Place, Time)>,
 }
@@ -335,7 +348,7 @@
         if !self.settings.may_cancel {
             return;
         }
-        let spare = self.settings.release_wait + 2 * TURN;
+        let spare = self.settings.release_wait + MARGIN;
         for s in self.servers.values() {
             for (id, sent) in s.out.iter().filter(|(_, sent)| **sent < s.answered_sent) {
                 let Some(call) = self.calls.get_mut(id).filter(|c| !c.called_off) else { continue };
@@ -376,6 +389,7 @@
                     interval: now + phase,
                     credit: f64::MAX,
                     phase: phase as f64 / CC_PERIOD as f64,
+                    per_turn: STARTS_PER_TURN,
                     ..Window::default()
                 },
                 free: None,
@@ -387,6 +401,7 @@
                 occup: 0.0,
                 answered_sent: 0,
                 down: None,
+                ill: 0.0,
                 floor: f64::MAX,
                 delay: 0.0,
                 usual,
@@ -401,7 +416,7 @@
 
     fn arrive(&mut self, new: NewCall, actions: &mut Vec<Action>) {
         let Some(goal) = self.settings.classes.get(new.class).map(|c| c.goal) else {
-            actions.push(Action::Refuse { call: new.call, hold_off: None });
+            actions.push(Action::Refuse { call: new.call, hold_off: self.settings.max_hold_off });
             return;
         };
         let first_try = self.first_try(&new);
@@ -419,6 +434,7 @@
             attempts: 0,
             phase: Phase::Held(self.now),
             called_off: false,
+            erred: None,
             may_run: None,
         };
         self.calls.entry(new.call).or_insert(call);
@@ -496,17 +512,19 @@
         }
         call.phase = Phase::Held(match outcome {
             Outcome::Timeout | Outcome::Reset | Outcome::Cancelled => now + self.settings.release_wait,
-            Outcome::NotSent => now + TURN,
+            Outcome::NotSent => now + MARGIN / 2,
             _ => now,
         });
         if matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled | Outcome::Fault) {
             call.may_run.get_or_insert((cell.0, cell.1, sent));
         }
-        if outcome == Outcome::Full {
+        let busy = outcome == Outcome::Fault && reason == Some(Reason::NumberBusy);
+        call.erred = Some(server).filter(|_| outcome == Outcome::Fault).or(call.erred);
+        // Departure: a server is kept until it answers full, or with an error.
+        if outcome == Outcome::Full || outcome == Outcome::Fault && !busy {
             self.sticky.remove(&call.class);
         }
-        let busy = outcome == Outcome::Fault && reason == Some(Reason::NumberBusy);
-        let spent = call.attempts >= self.settings.attempt_limit || now + TURN >= call.expires;
+        let spent = call.attempts >= self.settings.attempt_limit || now + MARGIN / 2 >= call.expires;
         if busy || spent {
             self.calls.remove(&id);
             actions.push(Action::Fail(id));
@@ -548,7 +566,7 @@
         let mut done: Vec<CallId> = Vec::new();
         for (id, call) in &self.calls {
             let Phase::Held(from) = call.phase else { continue };
-            if self.now + 2 * TURN >= call.expires {
+            if self.now + MARGIN >= call.expires {
                 done.push(*id);
             } else if self.now >= from {
                 let late = stands_at > call.goal_at;
@@ -610,10 +628,13 @@
     fn allows(&self, id: ServerId, call: &Call, late: bool) -> bool {
         let (s, class) = (&self.servers[&id], &self.settings.classes[call.class]);
         let open = s.down.is_none() || s.out.is_empty();
+        // Guards against a call that spends all its attempts on a server that answers it with errors.
+        let others = || self.servers.iter().any(|(n, o)| *n != id && o.ready && o.down.is_none());
+        let open = open && (call.erred != Some(id) || !others());
         s.ready
             && open
             && self.now >= s.skip_until
-            && s.turn_starts < STARTS_PER_TURN
+            && f64::from(s.turn_starts) < s.window.per_turn
             && s.free.is_none_or(|free| free >= call.units)
             && self.settings.own_place != Some(s.place)
             && class.places.as_ref().is_none_or(|p| p.contains(&s.place))
@@ -685,14 +706,16 @@
             (Some(d), _) if !d.unreached => return LEAST_SHARE * usual,
             (Some(_), _) => 0,
             (None, Some(from)) => now.saturating_sub(from),
+            _ if self.ill >= ILL => return LEAST_SHARE * usual,
             (None, None) => {
                 return self.usual.map_or(f64::MAX, |_| OPEN_MOST * usual);
             }
         };
         if age >= settings.cold {
             self.cold_from = None;
-            self.window.n = self.window.n.or(Some(usual));
-            return usual;
+            // Guards against a window of 0 for good: a node that has just started knows no usual yet.
+            self.window.n = self.window.n.or(Some(usual).filter(|n| *n > 0.0));
+            return if usual > 0.0 { usual } else { f64::MAX };
         }
         let start = settings.start_capacity;
         let share = start + (1.0 - start) * age as f64 / settings.cold as f64;
@@ -701,6 +724,7 @@
 
     /// Ends the call control period and, at its end, the OPPUI.
     fn roll(&mut self, now: Time, target: f64, (least, most): (f64, f64), even: f64) {
+        let usual = self.usual.unwrap_or(even).max(even) * OPEN_MOST;
         if now >= self.window.interval + OPPUI {
             self.update_window(now, target, even);
         }
@@ -710,6 +734,8 @@
             self.window.n = self.window.n.map(|n| n.min(most));
             let n = self.window.n.unwrap_or(most).max(least);
             self.window.credit = self.window.credit.min(1.0) + n;
+            let even = n.min(usual) * TURN as f64 / CC_PERIOD as f64;
+            self.window.per_turn = (even * TURN_ROOM).max(STARTS_PER_TURN);
         }
     }
 
@@ -763,6 +789,10 @@
         let sent = now.saturating_sub(elapsed);
         let elapsed = elapsed as f64;
         self.heard = now;
+        if self.ill >= ILL && self.ill * (1.0 - SMOOTH) < ILL {
+            self.window.n = self.usual;
+        }
+        self.ill *= 1.0 - SMOOTH;
         self.answered_sent = self.answered_sent.max(sent);
         if sent >= self.judged_from {
             self.floor = self.floor.min(elapsed);
@@ -783,7 +813,9 @@
         self.out.values().copied().filter(|sent| *sent >= self.answered_sent.max(self.judged_from))
     }
 
-    /// Draws what an attempt's end says of the server.
+    /// Draws what an attempt's end says of the server. Errors in a row mark it as ill: it answers them fast
+    /// and looks idle, so that its window would stay open and its calls would be lost. Could wrong a server
+    /// that gets bad requests only; the fronts keep those away.
     fn judge(
         &mut self,
         now: Time,
@@ -803,6 +835,13 @@
                     self.window.delays.add(target * 2.0);
                 }
             }
+            Outcome::Fault if reason != Some(Reason::NumberBusy) => {
+                self.heard = now;
+                self.ill += SMOOTH * (1.0 - self.ill);
+                if self.ill >= ILL {
+                    self.window.credit = self.window.credit.min(1.0);
+                }
+            }
             Outcome::NoRoute => self.fell_silent(now, true),
             Outcome::Timeout if self.heard <= sent => self.fell_silent(now, false),
             Outcome::Done | Outcome::Fault | Outcome::Reset => self.heard = now,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -391,3 +391,55 @@
     let at_once = let_in_at_once();
     assert!((4..=14).contains(&at_once), "{at_once}");
 }
+
+/// A node that starts after a server's warm-up knows no usual rate yet, and must use the server all the same.
+#[test]
+fn a_server_that_started_a_while_ago_is_used_by_a_new_node() {
+    let mut s = Script::new(settings(), 0);
+    let started = Some(s.now - settings().cold - S);
+    s.event(Event::List(ListKind::Saved, vec![Entry { started, ..entry(0, State::Ready) }]));
+    s.pass(2 * S);
+    let actions = s.event(Event::Call(call(1, 0)));
+    assert_eq!(starts(&actions), vec![(1, 0)]);
+}
+
+/// A server that answers with errors looks idle. Calls leave it after the first one, and it is tested only.
+#[test]
+fn a_server_that_answers_with_errors_gets_tests_only() {
+    let mut s = Script::new(settings(), 2);
+    let (mut bad, mut late_bad) = (0, 0);
+    for id in 0..200 {
+        let mut actions = s.event(Event::Call(call(id, 0)));
+        actions.extend(s.pass(50 * MS));
+        for (id, server) in starts(&actions) {
+            if server == 1 {
+                s.event(Event::Stood { call: id, attempt: s.attempt(id), server, elapsed: 10 * MS });
+                continue;
+            }
+            bad += 1;
+            late_bad += u32::from(id >= 100);
+            let again = s.ended(id, s.attempt(id), server, Outcome::Fault);
+            assert!(starts(&again).iter().all(|(_, to)| *to == 1), "again to the server that erred");
+            for (id, server) in starts(&again) {
+                s.event(Event::Stood { call: id, attempt: s.attempt(id), server, elapsed: 10 * MS });
+            }
+        }
+    }
+    assert!(bad < 60 && late_bad > 0, "{bad} calls, {late_bad} of them late, to a server with errors");
+}
+
+/// The only server that is left takes more calls than there are turns, where its window allows them.
+#[test]
+fn a_busy_node_may_use_its_only_server_in_full() {
+    let mut s = Script::new(settings(), 1);
+    let mut late = 0;
+    for id in 0..300 {
+        let mut actions = s.event(Event::Call(call(id, 0)));
+        actions.extend(s.pass(if id % 3 == 0 { 16 * MS } else { 17 * MS }));
+        for (id, server) in starts(&actions) {
+            s.stood(id, server, 10 * MS);
+        }
+        late += u32::from(id >= 250 && starts(&actions).is_empty());
+    }
+    assert!(late < 10, "{late} of 50 calls, 60 a second, had to wait for a turn");
+}
