Judge set-ups in the front, make room for callers that speak, and cap floods

A trace of whole set-ups showed what was let through: the id 0 (servers close on it), unknown tenants, figures that are no numbers or out of range. To blame: accept_all(), which stopped at its cap; serve(), which waited for ever; and request(), where what could not be read passed as a default. Ruled out: the servers and their windows.

Now a client's connection that says nothing is closed after 1.5 s if it was never served and 5 s if it was, one that stops inside a message after 2 s, and at the cap those idle longest make room, the never served first. A set-up is judged whole before the core hears of it; the id of an open set-up fails elsewhere and closes its own connection; a release withdraws only what came on its connection; one connection has 128 set-ups open at most. The ENUM front shares the seats and has the same cap. Queues, what is remembered and what is undelivered follow the memory given.

--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -13,6 +13,8 @@
     pub channel: SocketAddr,
     pub seed: u64,
     pub sockets: usize,
+    /// In bytes.
+    pub memory: usize,
     pub open_calls: usize,
     pub connect: Duration,
     pub start: Start,
@@ -55,6 +57,7 @@
         channel: need(&v, "channel", address)?,
         seed: need(&v, "seed", seed)?,
         sockets: json::maybe(&v, "limits.sockets", json::count)?.unwrap_or(1024) as usize,
+        memory: (json::maybe(&v, "limits.memory_mb", json::count)?.unwrap_or(192) as usize) << 20,
         open_calls: json::maybe(settings, "limits.max_open", json::count)?.unwrap_or(20_000) as usize,
         connect: Duration::from_micros(dial),
         start: from_value(settings)?,
--- a/proxy/src/dns/front.rs
+++ b/proxy/src/dns/front.rs
@@ -7,12 +7,12 @@
 use crate::engine::{Input, Reply, Request, Source};
 use crate::hub::Message;
 use crate::limits::Limits;
-use crate::net::{accept_all, messages, unix_now, within, write_all};
+use crate::net::{Seat, accept_all, messages, unix_now, write_all};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use fernspan_core::{CallId, Time};
-use futures_lite::{StreamExt, future, pin};
+use futures_lite::{future, pin};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -137,19 +137,29 @@
     }
 
     /// Serves one connection, until the asker ends it or says nothing for too long.
-    async fn connection(&self, stream: Async<TcpStream>, source: Source) {
-        let (replies, to_send) = async_channel::bounded(self.limits.link_queue);
+    async fn connection(&self, stream: Async<TcpStream>, source: Source, seat: &Seat) {
+        let (replies, to_send) = async_channel::bounded(self.limits.caller_queue);
         if self.core.send(Message::Open(source, replies)).await.is_err() {
             return;
         }
-        let (own, own_to_send) = async_channel::bounded::<Vec<u8>>(self.limits.link_queue);
+        let (own, own_to_send) = async_channel::bounded::<Vec<u8>>(self.limits.own_queue);
         let waiting = RefCell::new(Waiting::new());
         let reading = async {
-            let queries = messages(&stream, Decoder { most: self.limits.message }, self.limits.read);
+            let queries =
+                messages(&stream, Decoder { most: self.limits.message }, self.limits.read, self.limits.rest);
             pin!(queries);
-            while let Some(Some(Ok(bytes))) = within(self.limits.idle, queries.next()).await {
+            while let Some(Ok(bytes)) = seat.next(&mut queries, &self.limits).await {
                 match self.read(&bytes, source) {
+                    // Guards the core's table against one asker's flood.
+                    Ok((_, query)) if waiting.borrow().calls.len() >= self.limits.open_per_caller => {
+                        let why = "too many questions at once on this connection";
+                        let refused = query.error(REFUSED, Some((EDE_NOT_READY, why)));
+                        if own.send(refused).await.is_err() {
+                            return;
+                        }
+                    }
                     Ok((request, query)) => {
+                        seat.used(true);
                         waiting.borrow_mut().add(request.id, (), query);
                         if !self.input(Input::Call(request)).await {
                             return;
@@ -164,7 +174,7 @@
                 }
             }
         };
-        future::or(reading, self.write(&stream, &waiting, to_send, own_to_send)).await;
+        future::or(reading, self.write(&stream, &waiting, to_send, own_to_send, seat)).await;
         self.input(Input::SourceGone(source)).await;
     }
 
@@ -174,6 +184,7 @@
         waiting: &RefCell<Waiting<()>>,
         replies: Receiver<(CallId, Reply)>,
         own: Receiver<Vec<u8>>,
+        seat: &Seat,
     ) {
         loop {
             let reply = async {
@@ -187,6 +198,8 @@
             if write_all(stream, &bytes, self.limits.write).await.is_err() {
                 return;
             }
+            seat.prove();
+            seat.used(!waiting.borrow().calls.is_empty());
         }
     }
 
@@ -196,10 +209,10 @@
         listener: Async<TcpListener>,
         executor: Rc<LocalExecutor<'static>>,
     ) {
-        let (most, pause) = (self.limits.askers, self.limits.pause);
-        accept_all(listener, most, pause, executor, move |stream, source| {
+        let limits = self.limits.clone();
+        accept_all(listener, limits.askers, limits, executor, move |stream, source, seat| {
             let front = self.clone();
-            async move { front.connection(stream, DATAGRAMS + source).await }
+            async move { front.connection(stream, DATAGRAMS + source, &seat).await }
         })
         .await;
     }
@@ -226,6 +239,6 @@
             let why = "no name server gave an answer in time";
             Some(query.error(SERVFAIL, Some((EDE_NO_REACHABLE_AUTHORITY, why))))
         }
-        Reply::Over(_) | Reply::Heard => None,
+        Reply::Unknown | Reply::Over(_) | Reply::Heard => None,
     }
 }
--- a/proxy/src/dns/link.rs
+++ b/proxy/src/dns/link.rs
@@ -124,7 +124,7 @@
     let stream = connect.ok_or(Outcome::NoRoute)?.map_err(|e| outcome(&e))?;
     let framed = framed(bytes).ok_or(Outcome::NotSent)?;
     write_all(&stream, &framed, limits.write).await.map_err(|e| outcome(&e))?;
-    let replies = messages(&stream, Decoder { most: usize::from(u16::MAX) }, limits.read);
+    let replies = messages(&stream, Decoder { most: limits.message }, limits.read, limits.rest);
     pin!(replies);
     while let Some(Ok(reply)) = replies.next().await {
         match query.check(id, &reply) {
--- a/proxy/src/engine.rs
+++ b/proxy/src/engine.rs
@@ -62,7 +62,9 @@
 pub enum Input {
     Call(Request),
     /// The caller gave the set-up up, or released the call that stands.
-    Left(CallId),
+    Left(CallId, Source),
+    /// An answer could not be passed on: what it says stands is released.
+    Unheard(CallId),
     /// A caller's connection is gone.
     SourceGone(Source),
     Stood {
@@ -99,6 +101,8 @@
     /// Turned away; come back after the wait.
     Refused(Option<Time>),
     Failed,
+    /// A release of a call that is not known here.
+    Unknown,
     /// What stood is over.
     Over(u8),
     /// The caller's own release was heard.
@@ -239,7 +243,18 @@
         self.now = self.now.max(now);
         match input {
             Input::Call(request) => self.call(request, out),
-            Input::Left(id) => self.left(id, out),
+            Input::Left(id, source) => match self.calls.get(&id) {
+                // Guards a set-up against others that know its id: it belongs to its connection. A call that
+                // stands belongs to none, and may be released on any.
+                Some(Call { stage: Stage::Open { .. }, source: own, .. }) if *own != source => {
+                    out.push(Output::Reply(Some(source), id, Reply::Unknown));
+                }
+                Some(_) => self.left(id, out),
+                // Its own release has crossed the call's end, or nobody knows it.
+                None if self.ended.ids.contains(&id) => {}
+                None => out.push(Output::Reply(Some(source), id, Reply::Unknown)),
+            },
+            Input::Unheard(id) => self.left(id, out),
             Input::SourceGone(source) => {
                 let open = |c: &Call| c.source == source && matches!(c.stage, Stage::Open { .. });
                 let mut gone: Vec<CallId> =
@@ -260,8 +275,10 @@
     }
 
     fn call(&mut self, r: Request, out: &mut Vec<Output>) {
-        // Guards against a repeated id: its first set-up has the one answer that is owed.
+        // Guards against an id that is taken: the first set-up keeps the one answer that is its own, and the
+        // other, from another connection, fails.
         if self.calls.contains_key(&r.id) {
+            out.push(Output::Reply(Some(r.source), r.id, Reply::Failed));
             return;
         }
         // Guards against a queue without bounds in front of slow servers.
--- a/proxy/src/feed.rs
+++ b/proxy/src/feed.rs
@@ -128,7 +128,7 @@
         write_all(&stream, format!("resume {}\n", self.last).as_bytes(), self.limits.write).await?;
         // A line holds a whole list, so its limit is its own.
         let lines = Lines { most: 64 * self.limits.message, zones: self.zones.clone() };
-        let lines = messages(&stream, lines, self.limits.read);
+        let lines = messages(&stream, lines, self.limits.read, self.limits.feed_silence);
         pin!(lines);
         while let Some(line) = within(self.limits.feed_silence, lines.next()).await.ok_or_else(silent)? {
             match line? {
--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -160,7 +160,7 @@
                     // Guards against a call that stands for a caller who was never told so.
                     if !self.reply(source, id, reply) && stands {
                         let mut more = Vec::new();
-                        self.engine.handle(now, Input::Left(id), &mut more);
+                        self.engine.handle(now, Input::Unheard(id), &mut more);
                         todo.extend(more);
                     }
                 }
--- a/proxy/src/isup/front.rs
+++ b/proxy/src/isup/front.rs
@@ -4,22 +4,27 @@
 use crate::engine::{Input, Reply, Request, Source};
 use crate::hub;
 use crate::limits::Limits;
-use crate::net::{accept_all, messages, unix_now, write_all};
+use crate::net::{Seat, accept_all, messages, unix_now, write_all};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
 use fernspan_core::{Place, Time};
-use futures_lite::{StreamExt, future, pin};
+use futures_lite::{future, pin};
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 
-/// Names that set-ups use, in the order of the settings.
+/// What set-ups may name, in the order of the settings.
 pub struct Names {
     pub classes: Vec<String>,
-    /// How long a caller of each class waits where a set-up does not say.
+    /// How long a caller of each class waits at most, and where a set-up does not say.
     pub patience: Vec<Time>,
+    /// Where each class may go; any place without.
+    pub places: Vec<Option<Vec<Place>>>,
     pub tenants: Vec<String>,
+    /// How long a caller that is refused is told to stay away.
+    pub hold_off: Option<Time>,
 }
 
 /// Listens for callers.
@@ -30,49 +35,79 @@
 }
 
 /// The figures of a set-up, as in `dest:2;width:1;via:-1`.
+#[derive(Default)]
 struct Figures {
     first_choice: Option<Place>,
-    units: f64,
+    units: Option<u32>,
     cut_before: bool,
 }
 
-fn figures(text: &str) -> Figures {
-    let mut figures = Figures { first_choice: None, units: 1.0, cut_before: false };
-    for (name, value) in text.split(';').filter_map(|f| f.split_once(':')) {
-        match name {
-            "dest" => figures.first_choice = value.parse().ok(),
-            "width" => figures.units = value.parse().ok().filter(|n: &f64| n.is_finite()).unwrap_or(1.0),
-            "again" => figures.cut_before = value == "1",
+/// `None` where a figure is no number.
+fn figures(text: &str) -> Option<Figures> {
+    let mut figures = Figures::default();
+    for figure in text.split(';') {
+        match figure.split_once(':')? {
+            ("dest", value) => figures.first_choice = Some(value.parse().ok()?),
+            ("width", value) => figures.units = Some(value.parse().ok()?),
+            ("again", value) => figures.cut_before = flag(Some(value))?,
+            ("via", value) => drop(value.parse::<i64>().ok()?),
             _ => {}
         }
     }
-    figures
+    Some(figures)
+}
+
+/// A mark that is 1 or absent.
+fn flag(value: Option<&str>) -> Option<bool> {
+    match value {
+        None | Some("0") => Some(false),
+        Some("1") => Some(true),
+        Some(_) => None,
+    }
 }
 
 impl Front {
-    /// A set-up in the engine's words; `None` where what it needs is missing.
-    fn request(&self, m: &Message, source: Source) -> Option<Request> {
-        let class = m.text(CLASS)?;
-        let class = self.names.classes.iter().position(|c| c == class)?;
-        let tenant = m.text(TENANT).and_then(|t| self.names.tenants.iter().position(|n| n == t));
-        let patience = match m.text(PATIENCE) {
-            Some(ms) => ms.parse::<Time>().ok()?.saturating_mul(1000),
-            None => self.names.patience[class],
+    /// A set-up in the engine's words, or the cause for which it fails. Guards the servers, which close on what
+    /// they cannot read with all that is open on the connection, and the callers whose share and windows a
+    /// bad set-up would use.
+    fn request(&self, m: &Message, source: Source) -> Result<Request, u8> {
+        let text =
+            |code| m.text(code).ok_or(if m.get(code).is_some() { CAUSE_INVALID } else { CAUSE_MISSING });
+        if m.call == 0 {
+            return Err(CAUSE_NO_SUCH_CALL);
+        }
+        let named = |names: &[String], name: &str| names.iter().position(|n| n == name).ok_or(CAUSE_INVALID);
+        let class = named(&self.names.classes, text(CLASS)?)?;
+        let tenant = match self.names.tenants.is_empty() {
+            true => None,
+            false => Some(named(&self.names.tenants, text(TENANT)?)?),
+        };
+        let limit = self.names.patience[class];
+        let patience = match m.get(PATIENCE) {
+            Some(_) => text(PATIENCE)?.parse::<Time>().ok().and_then(|ms| ms.checked_mul(1000)),
+            None => Some(limit),
         };
-        let figures = figures(m.text(FIGURES).unwrap_or_default());
-        Some(Request {
+        let number = text(NUMBER)?;
+        let figures = figures(text(FIGURES)?).ok_or(CAUSE_INVALID)?;
+        let first_choice = figures.first_choice.ok_or(CAUSE_INVALID)?;
+        let goes = self.names.places[class].as_ref().is_none_or(|places| places.contains(&first_choice));
+        let units = figures.units.unwrap_or(1);
+        if !number_is_plain(number) || !goes || !(1..=self.limits.units).contains(&units) {
+            return Err(CAUSE_INVALID);
+        }
+        Ok(Request {
             id: m.call,
             source,
             at: unix_now(),
-            patience,
+            patience: patience.filter(|us| (1..=limit).contains(us)).ok_or(CAUSE_INVALID)?,
             class,
             tenant,
-            number: m.text(NUMBER).filter(|n| number_is_plain(n))?.to_owned(),
-            first_choice: figures.first_choice,
-            units: figures.units,
-            redialled: m.text(RETRY) == Some("1"),
+            number: number.to_owned(),
+            first_choice: Some(first_choice),
+            units: f64::from(units),
+            redialled: flag(m.get(RETRY).map(|_| text(RETRY)).transpose()?).ok_or(CAUSE_INVALID)?,
             cut_before: figures.cut_before,
-            payload: m.get(DESCRIPTION).unwrap_or_default().into(),
+            payload: m.get(DESCRIPTION).ok_or(CAUSE_MISSING)?.into(),
         })
     }
 
@@ -85,6 +120,7 @@
                 release(CAUSE_REFUSED).with(COME_BACK, (wait / 1000).to_string().as_bytes())
             }
             Reply::Failed => release(CAUSE_FAILED),
+            Reply::Unknown => release(CAUSE_NO_SUCH_CALL),
             Reply::Over(cause) => release(*cause),
             Reply::Heard => Message::new(HEARD, call),
         };
@@ -92,19 +128,21 @@
     }
 
     /// One connection, until either side ends it. Bytes that are no message end it too.
-    async fn serve(&self, stream: Async<TcpStream>, source: Source) {
+    async fn serve(&self, stream: Async<TcpStream>, source: Source, seat: &Seat) {
         let _ = stream.get_ref().set_nodelay(true);
-        let (replies, to_write) = async_channel::bounded(self.limits.link_queue);
+        let (replies, to_write) = async_channel::bounded(self.limits.caller_queue);
         // The core alone holds the sender: when it drops it, the connection ends.
         if self.core.send(hub::Message::Open(source, replies)).await.is_err() {
             return;
         }
-        let (tests, to_test) = async_channel::bounded(self.limits.link_queue);
+        let (own, own_to_write) = async_channel::bounded(self.limits.own_queue);
+        // Set-ups that have no answer yet.
+        let open = RefCell::new(BTreeSet::new());
         let reading = async {
             let decoder = Decoder { most: self.limits.message };
-            let messages = messages(&stream, decoder, self.limits.read);
+            let messages = messages(&stream, decoder, self.limits.read, self.limits.rest);
             pin!(messages);
-            while let Some(message) = messages.next().await {
+            while let Some(message) = seat.next(&mut messages, &self.limits).await {
                 let message = match message {
                     Ok(message) => message,
                     Err(e) => {
@@ -112,33 +150,33 @@
                         return;
                     }
                 };
-                let input = match message.kind {
-                    SETUP => match self.request(&message, source) {
-                        Some(request) => Input::Call(request),
-                        None => {
-                            let bad = Message::new(RELEASE, message.call).with(CAUSE, &[CAUSE_MISSING]);
-                            if tests.send(bad).await.is_err() {
-                                return;
-                            }
-                            continue;
-                        }
-                    },
-                    RELEASE => Input::Left(message.call),
-                    TEST => {
-                        if tests.send(Message::new(TESTED, message.call).with(CAUSE, &[1])).await.is_err() {
+                let answer = match self.input(&message, source, &open) {
+                    Read::Input(input) => {
+                        if self.core.send(hub::Message::Input(input)).await.is_err() {
                             return;
                         }
-                        continue;
+                        None
+                    }
+                    Read::Answer(answer) => Some(answer),
+                    Read::Nothing => None,
+                    Read::Close(why) => {
+                        eprintln!("caller {source}: {why}");
+                        return;
                     }
-                    _ => continue,
                 };
-                if self.core.send(hub::Message::Input(input)).await.is_err() {
+                if let Some(answer) = answer
+                    && own.send(answer).await.is_err()
+                {
                     return;
                 }
+                seat.used(!open.borrow().is_empty());
+                // One caller's flood must not keep the others from their turn.
+                future::yield_now().await;
             }
         };
         let in_hand = RefCell::new(Vec::new());
-        future::or(reading, self.write(&stream, &to_write, to_test, &in_hand)).await;
+        let writing = self.write(&stream, &to_write, own_to_write, &in_hand, &open, seat);
+        future::or(reading, writing).await;
         // Guards against a release that crosses the end of its connection: it goes on another one.
         to_write.close();
         let mut left = in_hand.into_inner();
@@ -146,9 +184,40 @@
         for (call, reply) in left.into_iter().filter(|(_, reply)| matches!(reply, Reply::Over(_))) {
             let _ = self.core.send(hub::Message::Undelivered(call, reply)).await;
         }
+        // Before the socket closes, so that a set-up which crosses that and comes again is not taken for this.
         let _ = self.core.send(hub::Message::Input(Input::SourceGone(source))).await;
     }
 
+    /// What a message asks for.
+    fn input(&self, message: &Message, source: Source, open: &RefCell<BTreeSet<CallId>>) -> Read {
+        let call = message.call;
+        let release = |cause: u8| Message::new(RELEASE, call).with(CAUSE, &[cause]);
+        match message.kind {
+            // Guards the one answer: with two set-ups under one id, it could be that of the other.
+            SETUP if open.borrow().contains(&call) => Read::Close("two set-ups under one id"),
+            // Guards the core's queue and its table against one caller's flood.
+            SETUP if open.borrow().len() >= self.limits.open_per_caller => {
+                let refused = release(CAUSE_REFUSED);
+                let wait = self.names.hold_off.map(|us| (us / 1000).to_string());
+                Read::Answer(wait.iter().fold(refused, |m, ms| m.with(COME_BACK, ms.as_bytes())))
+            }
+            SETUP => match self.request(message, source) {
+                Ok(request) => {
+                    open.borrow_mut().insert(call);
+                    Read::Input(Input::Call(request))
+                }
+                Err(cause) => Read::Answer(release(cause)),
+            },
+            RELEASE => {
+                open.borrow_mut().remove(&call);
+                Read::Input(Input::Left(call, source))
+            }
+            TEST => Read::Answer(Message::new(TESTED, call).with(CAUSE, &[1])),
+            PROGRESS | HEARD | STATE | TESTED => Read::Nothing,
+            _ => Read::Answer(release(CAUSE_NO_SUCH_TYPE)),
+        }
+    }
+
     /// Writes replies, which are kept `in_hand` until they are out.
     async fn write(
         &self,
@@ -156,6 +225,8 @@
         replies: &Receiver<(CallId, Reply)>,
         own: Receiver<Message>,
         in_hand: &RefCell<Vec<(CallId, Reply)>>,
+        open: &RefCell<BTreeSet<CallId>>,
+        seat: &Seat,
     ) {
         loop {
             let reply = async { replies.recv().await.ok().map(|r| (Some(r), None)) };
@@ -170,11 +241,27 @@
             if write_all(stream, &bytes, self.limits.write).await.is_err() {
                 return;
             }
-            in_hand.borrow_mut().clear();
+            for (call, reply) in in_hand.borrow_mut().drain(..) {
+                match reply {
+                    Reply::Stands(_) => seat.prove(),
+                    Reply::Refused(_) | Reply::Failed => {}
+                    Reply::Unknown | Reply::Over(_) | Reply::Heard => continue,
+                }
+                open.borrow_mut().remove(&call);
+            }
+            seat.used(!open.borrow().is_empty());
         }
     }
 }
 
+/// What to do upon a message.
+enum Read {
+    Input(Input),
+    Answer(Message),
+    Nothing,
+    Close(&'static str),
+}
+
 /// Whether a number can stand in a SIP address as it is.
 fn number_is_plain(number: &str) -> bool {
     !number.is_empty() && number.bytes().all(|b| b.is_ascii_graphic() && !b"@<>\"".contains(&b))
@@ -182,10 +269,10 @@
 
 /// Takes callers for ever.
 pub async fn listen(front: Rc<Front>, listener: Async<TcpListener>, executor: Rc<LocalExecutor<'static>>) {
-    let (most, pause) = (front.limits.caller_conns, front.limits.pause);
-    accept_all(listener, most, pause, executor, move |stream, source| {
+    let limits = front.limits.clone();
+    accept_all(listener, limits.caller_conns, limits, executor, move |stream, source, seat| {
         let front = front.clone();
-        async move { front.serve(stream, source).await }
+        async move { front.serve(stream, source, &seat).await }
     })
     .await;
 }
--- a/proxy/src/isup/mod.rs
+++ b/proxy/src/isup/mod.rs
@@ -7,8 +7,10 @@
 
 pub const SETUP: u8 = 1;
 pub const ANSWER: u8 = 9;
+pub const PROGRESS: u8 = 6;
 pub const RELEASE: u8 = 12;
 pub const HEARD: u8 = 16;
+pub const STATE: u8 = 43;
 pub const TEST: u8 = 52;
 pub const TESTED: u8 = 53;
 
@@ -26,8 +28,14 @@
 pub const CAUSE_REFUSED: u8 = 42;
 /// Q.850: temporary failure.
 pub const CAUSE_FAILED: u8 = 41;
+/// Q.850: invalid call reference value.
+pub const CAUSE_NO_SUCH_CALL: u8 = 81;
 /// Q.850: mandatory information element is missing.
 pub const CAUSE_MISSING: u8 = 96;
+/// Q.850: message type non-existent.
+pub const CAUSE_NO_SUCH_TYPE: u8 = 97;
+/// Q.850: invalid information element contents.
+pub const CAUSE_INVALID: u8 = 100;
 
 /// One message.
 #[derive(Debug, PartialEq)]
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -12,14 +12,30 @@
     pub read: usize,
     /// Messages that may wait for the engine.
     pub core_queue: usize,
-    /// Messages that may wait for one connection or one server.
+    /// Messages that may wait for one server.
     pub link_queue: usize,
+    /// Replies of the core that may wait for one caller's connection, and of the front.
+    pub caller_queue: usize,
+    pub own_queue: usize,
+    /// Set-ups without an answer on one caller's connection at most; more are refused at once.
+    pub open_per_caller: usize,
+    /// Most circuits that a set-up may ask for.
+    pub units: u32,
     /// Connections held by callers at most.
     pub caller_conns: usize,
     /// Connections held by ENUM askers at most.
     pub askers: usize,
-    /// An ENUM asker's connection that says nothing for so long is closed.
+    /// A client's connection that says nothing for so long while nothing is owed on it is closed. Callers
+    /// close theirs after 4 s without a call.
     pub idle: Duration,
+    /// The same for one that was never served. Such a client is owed a word or a close within 3 s.
+    pub first: Duration,
+    /// A client's message that has begun is whole by then.
+    pub rest: Duration,
+    /// A server's message that has begun is whole by then: others wait behind it.
+    pub server_rest: Duration,
+    /// A connection that came or was used within this time is not closed to make room.
+    pub settle: Duration,
     /// Calls without a final answer at most; more are refused at once.
     pub open_calls: usize,
     /// Time-out of one look-up at a name server.
@@ -68,17 +84,26 @@
 }
 
 impl Limits {
-    /// From the figures that are given: descriptors, open calls and the longest wait for a connection.
-    pub fn new(sockets: usize, open_calls: usize, connect: Duration) -> Self {
+    /// From the figures that are given: descriptors, bytes of memory, open calls and the longest wait for a
+    /// connection.
+    pub fn new(sockets: usize, memory: usize, open_calls: usize, connect: Duration) -> Self {
         Limits {
             message: 16 * 1024,
             read: 16 * 1024,
-            core_queue: 4096,
-            link_queue: 1024,
+            core_queue: (memory >> 15).clamp(256, 4096),
+            link_queue: 512,
+            caller_queue: 256,
+            own_queue: 16,
+            open_per_caller: 128,
+            units: 64,
             // Callers hold a third by the protocol; as much again is left for servers and spare.
             caller_conns: (sockets / 2).max(8),
             askers: 64,
-            idle: Duration::from_secs(10),
+            idle: Duration::from_secs(5),
+            first: Duration::from_millis(1_500),
+            rest: Duration::from_secs(2),
+            server_rest: Duration::from_millis(250),
+            settle: Duration::from_millis(150),
             open_calls,
             attempt: Duration::from_millis(800),
             out_per_server: 64,
@@ -94,8 +119,8 @@
             feed_retry: Duration::from_millis(200),
             feed_connect: Duration::from_secs(1),
             margin: 20_000,
-            remembered: 50_000,
-            undelivered: 10_000,
+            remembered: (memory >> 12).clamp(1_000, 50_000),
+            undelivered: (memory >> 13).clamp(1_000, 10_000),
             grace: 700_000,
             stop: 3_300_000,
             look: 10_000,
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -55,7 +55,7 @@
     let mut reload = None;
     if let Some((path, text)) = file_of("PROXY_CONFIG")? {
         let config = config::read(&text).map_err(|e| format!("{path}: {e}"))?;
-        let limits = Limits::new(config.sockets, config.open_calls, config.connect);
+        let limits = Limits::new(config.sockets, config.memory, config.open_calls, config.connect);
         flush = limits.flush;
         let (channels, moves) = async_channel::bounded(1);
         serving.push(platform(config, limits, moves, &executor).await?);
@@ -125,9 +125,16 @@
     executor: &Executor,
 ) -> Result<Serving, String> {
     let (queue, messages) = async_channel::bounded(limits.core_queue);
-    let patience = config.start.settings.classes.iter().map(|c| c.limit).collect();
-    let setups = sip::link::Setups {
+    let classes = &config.start.settings.classes;
+    let names = isup::front::Names {
+        patience: classes.iter().map(|c| c.limit).collect(),
+        places: classes.iter().map(|c| c.places.clone()).collect(),
+        hold_off: config.start.settings.max_hold_off,
         classes: config.classes.clone(),
+        tenants: config.tenants,
+    };
+    let setups = sip::link::Setups {
+        classes: config.classes,
         gives_wait: config.start.gives_wait,
         limits: limits.clone(),
         executor: executor.clone(),
@@ -152,7 +159,6 @@
     executor.spawn(feed.run()).detach();
     let listener = listen(config.listen)?;
     eprintln!("{}: serving on {}", config.name, local(&listener)?);
-    let names = isup::front::Names { classes: config.classes, patience, tenants: config.tenants };
     let front = isup::front::Front { names, limits, core: queue.clone() };
     executor.spawn(isup::front::listen(Rc::new(front), listener, executor.clone())).detach();
     Ok((queue, task))
--- a/proxy/src/net.rs
+++ b/proxy/src/net.rs
@@ -1,16 +1,19 @@
 //! What every socket shares: streams of messages, writes that cannot hang, and the clock.
 
+use crate::limits::Limits;
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use fernspan_core::Time;
-use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Stream, future, stream};
-use std::cell::Cell;
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Stream, StreamExt, future, stream};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::future::Future;
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The system's Unix clock, in microseconds.
 pub fn unix_now() -> Time {
@@ -24,6 +27,8 @@
     TooLong,
     /// Bytes that are no message.
     Malformed(&'static str),
+    /// A message whose rest did not come in time.
+    Stalled,
     Io(io::Error),
 }
 
@@ -32,6 +37,7 @@
         match self {
             WireError::TooLong => write!(f, "message too long"),
             WireError::Malformed(what) => write!(f, "malformed: {what}"),
+            WireError::Stalled => write!(f, "the rest of a message did not come"),
             WireError::Io(e) => write!(f, "{e}"),
         }
     }
@@ -52,8 +58,14 @@
     fn decode(&mut self, bytes: &[u8]) -> Result<Option<(Self::Message, usize)>, WireError>;
 }
 
-/// The messages of a connection, whatever pieces its bytes come in. Ends after an error.
-pub fn messages<R, D>(reader: R, decoder: D, read: usize) -> impl Stream<Item = Result<D::Message, WireError>>
+/// The messages of a connection, whatever pieces its bytes come in. A message that has begun has to be whole
+/// within `rest`. Ends after an error.
+pub fn messages<R, D>(
+    reader: R,
+    decoder: D,
+    read: usize,
+    rest: Duration,
+) -> impl Stream<Item = Result<D::Message, WireError>>
 where
     R: AsyncRead + Unpin,
     D: Decode,
@@ -64,17 +76,26 @@
         bytes: Vec<u8>,
         taken: usize,
         chunk: Vec<u8>,
+        begun: Option<Instant>,
     }
-    let state = State { reader, decoder, bytes: Vec::new(), taken: 0, chunk: vec![0; read] };
-    stream::try_unfold(state, |mut s| async move {
+    let state = State { reader, decoder, bytes: Vec::new(), taken: 0, chunk: vec![0; read], begun: None };
+    stream::try_unfold(state, move |mut s| async move {
         loop {
             if let Some((message, used)) = s.decoder.decode(&s.bytes[s.taken..])? {
                 s.taken += used;
+                s.begun = None;
                 return Ok(Some((message, s)));
             }
             s.bytes.drain(..s.taken);
             s.taken = 0;
-            match s.reader.read(&mut s.chunk).await? {
+            // Guards against a peer that stops half way: what else it holds would wait for ever.
+            let read = if s.bytes.is_empty() {
+                s.reader.read(&mut s.chunk).await
+            } else {
+                let left = rest.saturating_sub(s.begun.get_or_insert_with(Instant::now).elapsed());
+                within(left, s.reader.read(&mut s.chunk)).await.ok_or(WireError::Stalled)?
+            };
+            match read? {
                 0 => return Ok(None),
                 n => s.bytes.extend_from_slice(&s.chunk[..n]),
             }
@@ -96,39 +117,107 @@
     within(limit, writer.write_all(bytes)).await.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
 }
 
+/// A connection's place among those that its listener holds.
+pub struct Seat {
+    /// An answer is owed on it.
+    busy: Cell<bool>,
+    /// It has got what it came for once.
+    proven: Cell<bool>,
+    active: Cell<Instant>,
+    leave: (Sender<()>, Receiver<()>),
+}
+
+impl Seat {
+    fn new() -> Self {
+        Seat {
+            busy: Cell::new(false),
+            proven: Cell::new(false),
+            active: Cell::new(Instant::now()),
+            leave: async_channel::bounded(1),
+        }
+    }
+
+    /// Something whole came or went; `busy` says whether an answer is owed now.
+    pub fn used(&self, busy: bool) {
+        self.busy.set(busy);
+        self.active.set(Instant::now());
+    }
+
+    pub fn prove(&self) {
+        self.proven.set(true);
+    }
+
+    /// The next message, or nothing when it is time to close: an error, the end, the seat is wanted, or
+    /// nothing has come for too long while nothing is owed. A peer that was never served is given less time.
+    pub async fn next<T>(
+        &self,
+        mut messages: impl Stream<Item = Result<T, WireError>> + Unpin,
+        limits: &Limits,
+    ) -> Option<Result<T, WireError>> {
+        loop {
+            let wait = if self.proven.get() { limits.idle } else { limits.first };
+            let next = async { Some(messages.next().await) };
+            let leave = async { self.leave.1.recv().await.ok().map(|()| None) };
+            match within(wait, future::or(next, leave)).await {
+                Some(found) => return found.flatten(),
+                None if !self.busy.get() && self.active.get().elapsed() >= wait => return None,
+                None => {}
+            }
+        }
+    }
+}
+
+/// Asks some connections to leave on which nothing is owed: first those that were never served, and of these
+/// the ones that have been idle longest. One that has just come may be about to speak.
+fn make_room<'a>(seats: impl Iterator<Item = &'a Rc<Seat>>, most: usize, settle: Duration) {
+    let mut idle: Vec<_> = seats
+        .filter(|s| !s.busy.get() && s.active.get().elapsed() >= settle && s.leave.0.is_empty())
+        .collect();
+    idle.sort_by_key(|s| (s.proven.get(), s.active.get()));
+    for seat in idle.into_iter().take(most) {
+        let _ = seat.leave.0.try_send(());
+    }
+}
+
 /// Accepts connections for ever, `most` at a time, numbered from 1, and has each served by a task of its own.
-/// When it cannot accept now it looks again after `pause`.
+/// When it cannot accept now it looks again after a pause.
 pub async fn accept_all<F, S>(
     listener: Async<TcpListener>,
     most: usize,
-    pause: Duration,
+    limits: Limits,
     executor: Rc<LocalExecutor<'static>>,
     serve: F,
 ) where
-    F: Fn(Async<TcpStream>, u64) -> S,
+    F: Fn(Async<TcpStream>, u64, Rc<Seat>) -> S,
     S: Future<Output = ()> + 'static,
 {
-    let open = Rc::new(Cell::new(0));
+    let seats: Rc<RefCell<BTreeMap<u64, Rc<Seat>>>> = Rc::default();
+    let (left, freed) = async_channel::bounded(1);
     for number in 1.. {
-        // Guards the descriptors: what is over waits in the backlog.
-        while open.get() >= most {
-            Timer::after(pause).await;
+        // Guards the descriptors, and the usual clients against others that fill all seats and say nothing.
+        while seats.borrow().len() >= most {
+            make_room(seats.borrow().values(), most / 8 + 1, limits.settle);
+            within(limits.pause, freed.recv()).await;
         }
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
                 eprintln!("accept: {e}");
-                Timer::after(pause).await;
+                Timer::after(limits.pause).await;
                 continue;
             }
         };
-        open.set(open.get() + 1);
-        let (served, open) = (serve(stream, number), open.clone());
+        let seat = Rc::new(Seat::new());
+        seats.borrow_mut().insert(number, seat.clone());
+        let (served, seats, left) = (serve(stream, number, seat), seats.clone(), left.clone());
         executor
             .spawn(async move {
                 served.await;
-                open.set(open.get() - 1);
+                seats.borrow_mut().remove(&number);
+                let _ = left.try_send(());
             })
             .detach();
+        // A burst of connections must not keep the others from their turn.
+        future::yield_now().await;
     }
 }
--- a/proxy/src/operator.rs
+++ b/proxy/src/operator.rs
@@ -30,13 +30,14 @@
     pub cluster: Cluster,
 }
 
-/// Descriptors that the front may hold.
+/// Descriptors that the front may hold, and bytes of memory.
 const SOCKETS: usize = 1024;
+const MEMORY: usize = 64 << 20;
 
 impl Operator {
     /// The program's limits, with what the file says of them.
     pub fn limits(&self) -> Limits {
-        let limits = Limits::new(SOCKETS, self.open, self.cluster.connect_timeout);
+        let limits = Limits::new(SOCKETS, MEMORY, self.open, self.cluster.connect_timeout);
         Limits { attempt: self.attempt, out_per_server: self.most_out, ..limits }
     }
 }
--- a/proxy/src/sip/link.rs
+++ b/proxy/src/sip/link.rs
@@ -433,7 +433,7 @@
 }
 
 async fn read(limits: &Limits, stream: &Async<TcpStream>, id: u64, tell: &Sender<(u64, Told)>) {
-    let messages = messages(stream, Decoder { most: limits.message }, limits.read);
+    let messages = messages(stream, Decoder { most: limits.message }, limits.read, limits.server_rest);
     pin!(messages);
     while let Some(message) = messages.next().await {
         match message {
--- a/proxy/tests/play/mod.rs
+++ b/proxy/tests/play/mod.rs
@@ -148,6 +148,12 @@
             }
             ("wait", ms) => std::thread::sleep(Duration::from_millis(ms.parse().map_err(|_| "wait")?)),
             ("terminate", _) => self.signal("-TERM")?,
+            ("silent", n) => {
+                let at = self.address.ok_or("no program")?;
+                for _ in 0..n.rsplit(' ').next().and_then(|n| n.parse().ok()).unwrap_or(0) {
+                    self.filling.push(TcpStream::connect(at).map_err(|e| e.to_string())?);
+                }
+            }
             // The channel of that name, or no configuration at all; then the reload.
             ("reload", "bad") => {
                 self.rewrite("{".to_owned())?;
