Use a replacement at once, and take lost set-ups for no sign of load

The part of a period until the next begins is now given out at once. A place's usual rate was that of the oldest server there; now the latest's. - A server that lost half of its set-ups had its window cut from 30 to 5 though it reported 0.3 to 0.6: occup_past() took the age of what was lost for a wait. What went out before the last low report is not counted any more. Ruled out: the list's delay, the link (no order came).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -134,6 +134,8 @@
     /// Starts left in this period. Departure: up to one call of it, and what rounding N down leaves over,
     /// goes to the next period, as N is a few calls at most and often less than one.
     credit: f64,
+    /// Its server has just started: the part of a period until the next begins is still to be given out.
+    fresh: bool,
     /// Starts in one turn at most, rounded up.
     per_turn: f64,
     /// Where in a period this node begins, as a share of it; keeps the nodes out of step.
@@ -175,6 +177,8 @@
     judged_from: Time,
     /// Its last known occupancy.
     occup: f64,
+    /// When it last reported a low one.
+    idle_at: Time,
     /// When the latest set-up went out that was answered.
     answered_sent: Time,
     down: Option<Down>,
@@ -377,7 +381,7 @@
         for e in entries {
             let phase = Time::from(self.rng.next_u32()) % CC_PERIOD;
             let now = self.now;
-            let usual = self.servers.values().filter(|s| s.place == e.place).find_map(|s| s.usual);
+            let usual = self.servers.values().rev().filter(|s| s.place == e.place).find_map(|s| s.usual);
             let server = self.servers.entry(e.server).or_insert_with(|| Server {
                 zone: e.zone,
                 place: e.place,
@@ -399,6 +403,7 @@
                 heard: now,
                 judged_from: 0,
                 occup: 0.0,
+                idle_at: 0,
                 answered_sent: 0,
                 down: None,
                 ill: 0.0,
@@ -537,6 +542,9 @@
         let occupancy = figure(r.occupancy).filter(|o| *o <= 1.0);
         if let Some(occ) = occupancy.or(figure(r.wait).map(|w| w / self.target)) {
             s.window.reported.add(occ);
+            if occ < MIN_OCCUP {
+                s.idle_at = self.now;
+            }
         }
     }
 
@@ -688,6 +696,7 @@
         self.cold_from = Some(at);
         self.window.n = None;
         self.window.credit = self.window.credit.min(self.window.phase);
+        self.window.fresh = true;
         self.down = None;
         self.skip_until = 0;
         self.free = None;
@@ -728,6 +737,12 @@
         if now >= self.window.interval + OPPUI {
             self.update_window(now, target, even);
         }
+        if std::mem::take(&mut self.window.fresh) {
+            // Guards against a replacement that stands idle for up to two periods while its calls are held.
+            let w = &mut self.window;
+            w.period = (now + (w.phase * CC_PERIOD as f64) as Time).saturating_sub(CC_PERIOD);
+            w.credit += w.n.unwrap_or(most).min(most).max(least) * w.phase;
+        }
         while now >= self.window.period + CC_PERIOD {
             self.window.period += CC_PERIOD;
             // Departure: N stays within its bound; beyond it, a cut would not bite for some intervals.
@@ -773,14 +788,16 @@
     /// age, so that silence does not look idle.
     fn occup_past(&self, now: Time, target: f64) -> Option<f64> {
         let mut own = Mean(self.window.delays.0, self.window.delays.1);
-        for sent in self.waiting() {
+        let reported = self.window.reported.get();
+        // Guards against a server, or a path to it, that loses some messages: what went out before the server
+        // last said that it has little to do does not wait there.
+        for sent in self.waiting().filter(|sent| *sent >= self.idle_at) {
             let age = (now - sent) as f64 - self.floor;
             if self.floor < f64::MAX && age > target {
                 own.add(age);
             }
         }
         let own = own.get().map(|d| d / target);
-        let reported = self.window.reported.get();
         reported.map_or(own, |occ| Some(occ.max(own.unwrap_or(0.0))))
     }
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -443,3 +443,45 @@
     }
     assert!(late < 10, "{late} of 50 calls, 60 a second, had to wait for a turn");
 }
+
+/// A replacement takes its part of the calls within the period in which it is listed.
+#[test]
+fn a_replacement_is_used_from_the_first_period_on() {
+    let mut s = Script::new(settings(), 2);
+    let mut first = None;
+    for id in 0..160 {
+        if id == 100 {
+            s.event(Event::List(ListKind::Changes, vec![entry(1, State::Gone)]));
+            let started = Some(s.now - settings().cold);
+            let new = Entry { started, place: 1, ..entry(2, State::Ready) };
+            s.event(Event::List(ListKind::Changes, vec![new]));
+        }
+        let mut actions = s.event(Event::Call(call(id, (id % 2) as Place)));
+        actions.extend(s.pass(25 * MS));
+        for (call, server) in starts(&actions) {
+            s.stood(call, server, 10 * MS);
+            first = first.or((server == 2).then_some(id));
+        }
+    }
+    assert!(first.is_some_and(|id| id < 140), "it gets call {first:?} of 100 to 160, 40 a second");
+}
+
+/// Set-ups are lost on their way, while the ends of earlier calls say that the server has little to do.
+#[test]
+fn lost_set_ups_do_not_close_the_window_of_an_idle_server() {
+    let mut s = Script::new(settings(), 1);
+    let report = Some(Report { occupancy: Some(0.4), ..Report::default() });
+    let mut started = 0;
+    for id in 0..120 {
+        let mut actions = s.event(Event::Call(call(id, 0)));
+        actions.extend(s.pass(50 * MS));
+        let at_once = starts(&actions).iter().any(|(call, _)| *call == id);
+        if id < 60 {
+            s.stood(id, 0, 10 * MS);
+        } else {
+            started += u32::from(at_once);
+            s.ended_with(id - 60, 0, 0, Outcome::Done, None, report);
+        }
+    }
+    assert_eq!(started, 60, "calls that went out at once");
+}
