Send a release again that was not heard before its connection ended

No server connection was lost then; what goes on a caller's connection that the caller has just closed is gone without an error, and what belongs to no open connection went to the newest one, whoever had opened it. A release that was written less than 0.5 s before its connection ends and was not heard (type 16) goes out again, and without a connection of its own a release goes to one that was served before.

--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -38,6 +38,13 @@
     fn open(&self, server: ServerId, addr: &str, core: Sender<Message>) -> Sender<Order>;
 }
 
+/// A caller's connection.
+struct Caller {
+    replies: Sender<(CallId, Reply)>,
+    /// A call of its has stood.
+    served: bool,
+}
+
 struct Link {
     addr: String,
     orders: Sender<Order>,
@@ -53,9 +60,7 @@
     /// The next server's number. None is given twice.
     next: ServerId,
     links: BTreeMap<ServerId, Link>,
-    callers: HashMap<Source, Sender<(CallId, Reply)>>,
-    /// The connection opened last, for what belongs to none.
-    newest: Option<Source>,
+    callers: HashMap<Source, Caller>,
     undelivered: VecDeque<(CallId, Reply)>,
 }
 
@@ -70,7 +75,6 @@
             next: 0,
             links: BTreeMap::new(),
             callers: HashMap::new(),
-            newest: None,
             undelivered: VecDeque::new(),
         }
     }
@@ -127,8 +131,7 @@
                 break;
             }
         }
-        self.newest = Some(source);
-        self.callers.insert(source, replies);
+        self.callers.insert(source, Caller { replies, served: false });
     }
 
     fn list(&mut self, now: Time, kind: ListKind, servers: Vec<ListedServer>, out: &mut Vec<Output>) {
@@ -205,13 +208,14 @@
         let anywhere = matches!(reply, Reply::Over(_));
         let mut item = (id, reply);
         loop {
-            let open = |s: &Source| self.callers.contains_key(s);
-            let own = source.filter(open);
-            let any = || self.newest.filter(open).or_else(|| self.callers.keys().max().copied());
+            let own = source.filter(|s| self.callers.contains_key(s));
+            // Guards against a release that goes to a stranger who never had a call here: one that was served
+            // comes first, the newest of them.
+            let any = || self.callers.iter().max_by_key(|(s, c)| (c.served, **s)).map(|(s, _)| *s);
             let Some(at) = (if anywhere { own.or_else(any) } else { own }) else { break };
-            let Some(Err(back)) = self.callers.get(&at).map(|tx| tx.try_send(item.clone())) else {
-                return true;
-            };
+            let Some(caller) = self.callers.get_mut(&at) else { break };
+            caller.served |= matches!(item.1, Reply::Stands(_));
+            let Err(back) = caller.replies.try_send(item) else { return true };
             // Guards against a caller that does not read: its connection ends, not this program.
             self.callers.remove(&at);
             item = back.into_inner();
--- a/proxy/src/isup/front.rs
+++ b/proxy/src/isup/front.rs
@@ -11,9 +11,10 @@
 use fernspan_core::{Place, Time};
 use futures_lite::{future, pin};
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 /// What set-ups may name, in the order of the settings.
 pub struct Names {
@@ -136,8 +137,7 @@
             return;
         }
         let (own, own_to_write) = async_channel::bounded(self.limits.own_queue);
-        // Set-ups that have no answer yet.
-        let open = RefCell::new(BTreeSet::new());
+        let table = RefCell::new(Table::default());
         let reading = async {
             let decoder = Decoder { most: self.limits.message };
             let messages = messages(&stream, decoder, self.limits.read, self.limits.rest);
@@ -150,7 +150,8 @@
                         return;
                     }
                 };
-                let answer = match self.input(&message, source, &open) {
+                let read = self.input(&message, source, &mut table.borrow_mut());
+                let answer = match read {
                     Read::Input(input) => {
                         if self.core.send(hub::Message::Input(input)).await.is_err() {
                             return;
@@ -169,17 +170,21 @@
                 {
                     return;
                 }
-                seat.used(!open.borrow().is_empty());
+                seat.used(!table.borrow().open.is_empty());
                 // One caller's flood must not keep the others from their turn.
                 future::yield_now().await;
             }
         };
         let in_hand = RefCell::new(Vec::new());
-        let writing = self.write(&stream, &to_write, own_to_write, &in_hand, &open, seat);
+        let writing = self.write(&stream, &to_write, own_to_write, &in_hand, &table, seat);
         future::or(reading, writing).await;
-        // Guards against a release that crosses the end of its connection: it goes on another one.
+        // Guards against a release that crosses the end of its connection: it goes on another one. So does one
+        // that was written a moment ago and not heard, since it may have met a socket that was closed already.
         to_write.close();
         let mut left = in_hand.into_inner();
+        left.extend(
+            table.into_inner().unheard(self.limits.heard).map(|(call, cause)| (call, Reply::Over(cause))),
+        );
         left.extend(std::iter::from_fn(|| to_write.try_recv().ok()));
         for (call, reply) in left.into_iter().filter(|(_, reply)| matches!(reply, Reply::Over(_))) {
             let _ = self.core.send(hub::Message::Undelivered(call, reply)).await;
@@ -189,31 +194,35 @@
     }
 
     /// What a message asks for.
-    fn input(&self, message: &Message, source: Source, open: &RefCell<BTreeSet<CallId>>) -> Read {
+    fn input(&self, message: &Message, source: Source, table: &mut Table) -> Read {
         let call = message.call;
         let release = |cause: u8| Message::new(RELEASE, call).with(CAUSE, &[cause]);
         match message.kind {
             // Guards the one answer: with two set-ups under one id, it could be that of the other.
-            SETUP if open.borrow().contains(&call) => Read::Close("two set-ups under one id"),
+            SETUP if table.open.contains(&call) => Read::Close("two set-ups under one id"),
             // Guards the core's queue and its table against one caller's flood.
-            SETUP if open.borrow().len() >= self.limits.open_per_caller => {
+            SETUP if table.open.len() >= self.limits.open_per_caller => {
                 let refused = release(CAUSE_REFUSED);
                 let wait = self.names.hold_off.map(|us| (us / 1000).to_string());
                 Read::Answer(wait.iter().fold(refused, |m, ms| m.with(COME_BACK, ms.as_bytes())))
             }
             SETUP => match self.request(message, source) {
                 Ok(request) => {
-                    open.borrow_mut().insert(call);
+                    table.open.insert(call);
                     Read::Input(Input::Call(request))
                 }
                 Err(cause) => Read::Answer(release(cause)),
             },
             RELEASE => {
-                open.borrow_mut().remove(&call);
+                table.open.remove(&call);
                 Read::Input(Input::Left(call, source))
             }
             TEST => Read::Answer(Message::new(TESTED, call).with(CAUSE, &[1])),
-            PROGRESS | HEARD | STATE | TESTED => Read::Nothing,
+            HEARD => {
+                table.released.retain(|(id, ..)| *id != call);
+                Read::Nothing
+            }
+            PROGRESS | STATE | TESTED => Read::Nothing,
             _ => Read::Answer(release(CAUSE_NO_SUCH_TYPE)),
         }
     }
@@ -225,7 +234,7 @@
         replies: &Receiver<(CallId, Reply)>,
         own: Receiver<Message>,
         in_hand: &RefCell<Vec<(CallId, Reply)>>,
-        open: &RefCell<BTreeSet<CallId>>,
+        table: &RefCell<Table>,
         seat: &Seat,
     ) {
         loop {
@@ -241,19 +250,50 @@
             if write_all(stream, &bytes, self.limits.write).await.is_err() {
                 return;
             }
+            let mut table = table.borrow_mut();
             for (call, reply) in in_hand.borrow_mut().drain(..) {
                 match reply {
                     Reply::Stands(_) => seat.prove(),
                     Reply::Refused(_) | Reply::Failed => {}
-                    Reply::Unknown | Reply::Over(_) | Reply::Heard => continue,
+                    Reply::Over(cause) => {
+                        table.wrote_release(call, cause, self.limits.heard);
+                        continue;
+                    }
+                    Reply::Unknown | Reply::Heard => continue,
                 }
-                open.borrow_mut().remove(&call);
+                table.open.remove(&call);
             }
-            seat.used(!open.borrow().is_empty());
+            seat.used(!table.open.is_empty());
         }
     }
 }
 
+/// What a connection has to remember.
+#[derive(Default)]
+struct Table {
+    /// Set-ups that have no answer yet.
+    open: BTreeSet<CallId>,
+    /// Releases that were written and not heard yet, with their causes, the oldest first.
+    released: VecDeque<(CallId, u8, Instant)>,
+}
+
+impl Table {
+    /// Notes a release. Callers need not say that they have heard one, so it is forgotten in time.
+    fn wrote_release(&mut self, call: CallId, cause: u8, within: Duration) {
+        while self.released.front().is_some_and(|r| r.2.elapsed() >= within) {
+            self.released.pop_front();
+        }
+        self.released.push_back((call, cause, Instant::now()));
+    }
+
+    fn unheard(self, within: Duration) -> impl Iterator<Item = (CallId, u8)> {
+        self.released
+            .into_iter()
+            .filter(move |r| r.2.elapsed() < within)
+            .map(|(call, cause, _)| (call, cause))
+    }
+}
+
 /// What to do upon a message.
 enum Read {
     Input(Input),
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -69,6 +69,8 @@
     pub margin: Time,
     /// Ended calls that are remembered.
     pub remembered: usize,
+    /// A release that was not heard goes out again if its connection ends within this time.
+    pub heard: Duration,
     /// Releases kept for callers that have no connection open.
     pub undelivered: usize,
     /// New work is still taken this long after SIGTERM.
@@ -120,6 +122,7 @@
             feed_connect: Duration::from_secs(1),
             margin: 20_000,
             remembered: (memory >> 12).clamp(1_000, 50_000),
+            heard: Duration::from_millis(500),
             undelivered: (memory >> 13).clamp(1_000, 10_000),
             grace: 700_000,
             stop: 3_300_000,
