Spread set-ups over a server's connections, the fewest open first

Now a set-up goes to the connection with the fewest open, another one is made while all are in use (four at most), and quiet means 0.5 s.

--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -41,8 +41,8 @@
 /// A caller's connection.
 struct Caller {
     replies: Sender<(CallId, Reply)>,
-    /// A call of its has stood.
-    served: bool,
+    /// Calls of its that stood.
+    served: u64,
 }
 
 struct Link {
@@ -131,7 +131,7 @@
                 break;
             }
         }
-        self.callers.insert(source, Caller { replies, served: false });
+        self.callers.insert(source, Caller { replies, served: 0 });
     }
 
     fn list(&mut self, now: Time, kind: ListKind, servers: Vec<ListedServer>, out: &mut Vec<Output>) {
@@ -209,12 +209,12 @@
         let mut item = (id, reply);
         loop {
             let own = source.filter(|s| self.callers.contains_key(s));
-            // Guards against a release that goes to a stranger who never had a call here: one that was served
-            // comes first, the newest of them.
+            // Guards against a release that goes to a stranger, or to one that asks once and leaves: the caller
+            // that was served most is the likeliest to stay.
             let any = || self.callers.iter().max_by_key(|(s, c)| (c.served, **s)).map(|(s, _)| *s);
             let Some(at) = (if anywhere { own.or_else(any) } else { own }) else { break };
             let Some(caller) = self.callers.get_mut(&at) else { break };
-            caller.served |= matches!(item.1, Reply::Stands(_));
+            caller.served += u64::from(matches!(item.1, Reply::Stands(_)));
             let Err(back) = caller.replies.try_send(item) else { return true };
             // Guards against a caller that does not read: its connection ends, not this program.
             self.callers.remove(&at);
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -113,7 +113,7 @@
             server_conns: 4,
             connect,
             write: Duration::from_secs(2),
-            quiet: 1_000_000,
+            quiet: 500_000,
             silent: 2_000_000,
             vanished: 2_000_000,
             reconnect: Duration::from_millis(500),
--- a/proxy/src/sip/link.rs
+++ b/proxy/src/sip/link.rs
@@ -10,6 +10,7 @@
 use async_io::{Async, Timer};
 use fernspan_core::{Outcome, Reason, ServerId, Time};
 use futures_lite::{StreamExt, future, pin};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -72,6 +73,13 @@
     asked: Option<Time>,
 }
 
+impl Conn {
+    /// Whether it has said nothing for too long after a set-up.
+    fn quiet(&self, now: Time, limit: Time) -> bool {
+        self.asked.is_some_and(|at| now > at + limit)
+    }
+}
+
 /// A set-up that is on a connection.
 struct Out {
     conn: u64,
@@ -217,19 +225,38 @@
         self.conns.iter().filter(|(_, c)| c.up).max_by_key(|(_, c)| c.heard).map(|(id, _)| *id)
     }
 
-    /// Sends at once where a connection is known to live, else on the next that comes up.
+    /// The connection with the fewest set-ups open, and how many these are. Guards the others against one that
+    /// has gone dead or is about to be reset: what it does not answer stays open on it, so it gets no more.
+    fn least(&self) -> Option<(u64, usize)> {
+        let now = unix_now();
+        let mut open: BTreeMap<u64, usize> = BTreeMap::new();
+        self.setups.values().for_each(|o| *open.entry(o.conn).or_default() += 1);
+        let lives = self.conns.iter().filter(|(_, c)| c.up && !c.quiet(now, self.shared.limits.quiet));
+        let open = |id: &u64| open.get(id).copied().unwrap_or(0);
+        let least = lives.min_by_key(|(id, c)| (open(id), c.asked.is_some(), Reverse(c.heard)));
+        least.map(|(id, _)| (*id, open(id)))
+    }
+
+    /// Sends at once where a connection is known to live, else on the next that comes up. Where all have
+    /// set-ups open, another connection is made for those to come.
     fn start(&mut self, setup: Setup) -> Vec<Input> {
         self.draining = false;
-        let now = unix_now();
-        let quiet = |c: &Conn| c.asked.is_some_and(|at| now > at + self.shared.limits.quiet);
-        let best = self.best();
         let connecting = self.conns.values().any(|c| !c.up);
         let full = self.conns.len() >= self.shared.limits.server_conns;
-        match best.and_then(|id| self.conns.get(&id).map(|c| (id, quiet(c)))) {
-            Some((id, false)) => return self.send(id, setup),
+        match self.least() {
+            Some((id, open)) => {
+                if open > 0 && !full && !connecting {
+                    self.connect();
+                }
+                return self.send(id, setup);
+            }
             // Quiet on all connections there may be: it has to wait its turn there.
-            Some((id, true)) if full && !connecting => return self.send(id, setup),
-            _ => {}
+            None if full && !connecting => {
+                if let Some(id) = self.best() {
+                    return self.send(id, setup);
+                }
+            }
+            None => {}
         }
         self.queue.push_back(setup);
         if !connecting {
@@ -314,16 +341,7 @@
             Told::Failed(kind) => {
                 let mut inputs = self.lose(conn);
                 if !self.conns.values().any(|c| !c.up) {
-                    match self.best() {
-                        // An older connection that was passed over is all there is.
-                        Some(old) => {
-                            let queue = std::mem::take(&mut self.queue);
-                            inputs.extend(
-                                queue.into_iter().flat_map(|s| self.send(old, s)).collect::<Vec<_>>(),
-                            );
-                        }
-                        None => inputs.extend(self.fail_queue(Outcome::NoRoute)),
-                    }
+                    inputs.extend(self.fail_queue(Outcome::NoRoute));
                 }
                 let now = unix_now();
                 self.connect_at = Some(now + self.shared.limits.reconnect.as_micros() as Time);
@@ -357,10 +375,11 @@
         self.unreached = None;
     }
 
-    /// Closes older connections that have nothing open, once a new one is up.
+    /// Closes older connections that have gone quiet with nothing open, once a new one is up.
     fn retire(&mut self, newest: u64) {
+        let (now, limit) = (unix_now(), self.shared.limits.quiet);
         let busy: Vec<u64> = self.setups.values().map(|o| o.conn).collect();
-        self.conns.retain(|id, c| *id == newest || !c.up || busy.contains(id));
+        self.conns.retain(|id, c| *id == newest || !c.up || !c.quiet(now, limit) || busy.contains(id));
     }
 
     /// A connection has ended, and with it the set-ups open on it; calls that stand outlive it.
