--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,8 +38,7 @@
 const LOST_AFTER: f64 = 0.6;
 /// Most that is taken for overhead, ratio (ours): keeps the ratio tame when light load was never seen.
 const OVERHEAD_MOST: f64 = 0.1;
-/// Target wait as a share of the shortest goal (ours): leaves room for the way and a second attempt. At 0.15
-/// a slow server's own time was taken for a wait, and its window halved again and again.
+/// Target wait as a share of the shortest goal (ours): leaves room for a second attempt and slow servers.
 const TARGET_OF_GOAL: f64 = 0.4;
 /// Target wait as a share of the repeat gap (ours): a set-up that waits longer is sent again, twice the work.
 const TARGET_OF_REPEAT: f64 = 0.75;
@@ -134,7 +133,7 @@
     /// Starts left in this period. Departure: up to one call of it, and what rounding N down leaves over,
     /// goes to the next period, as N is a few calls at most and often less than one.
     credit: f64,
-    /// Its server has just started: the part of a period until the next begins is still to be given out.
+    /// Its server has just started: what is left of this period is still to be given out.
     fresh: bool,
     /// Starts in one turn at most, rounded up.
     per_turn: f64,
@@ -207,7 +206,7 @@
     attempts: u32,
     phase: Phase,
     called_off: bool,
-    /// The server that answered it with an error last.
+    /// The server that answered it with an error last, or lost it.
     erred: Option<ServerId>,
     /// Zone and place that may have run it, and when it went there.
     may_run: Option<(u32, Place, Time)>,
@@ -417,7 +416,7 @@
                 server.restart(at);
             }
         }
-        // Guards the memory: only a place's latest server is kept, for its usual rate.
+        // Guards the memory: a place's latest server alone is kept, for its usual rate.
         let latest: BTreeMap<Place, ServerId> = self.servers.iter().map(|(id, s)| (s.place, *id)).collect();
         self.servers.retain(|id, s| s.ready || !s.out.is_empty() || latest.get(&s.place) == Some(id));
     }
@@ -527,7 +526,8 @@
             call.may_run.get_or_insert((cell.0, cell.1, sent));
         }
         let busy = outcome == Outcome::Fault && reason == Some(Reason::NumberBusy);
-        call.erred = Some(server).filter(|_| outcome == Outcome::Fault).or(call.erred);
+        let lost = outcome == Outcome::Cancelled;
+        call.erred = Some(server).filter(|_| lost || outcome == Outcome::Fault).or(call.erred);
         // Departure: a server is kept until it answers full, or with an error.
         if outcome == Outcome::Full || outcome == Outcome::Fault && !busy {
             self.sticky.remove(&call.class);
@@ -639,7 +639,7 @@
     fn allows(&self, id: ServerId, call: &Call, late: bool) -> bool {
         let (s, class) = (&self.servers[&id], &self.settings.classes[call.class]);
         let open = s.down.is_none() || s.out.is_empty();
-        // Guards against a call that spends all its attempts on a server that answers it with errors.
+        // Guards against a call that spends all its attempts on a server that errs or loses it.
         let others = || self.servers.iter().any(|(n, o)| *n != id && o.ready && o.down.is_none());
         let open = open && (call.erred != Some(id) || !others());
         s.ready
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -506,3 +506,12 @@
     }
     assert!(at_once > 190, "{at_once} of 200 calls went out at once");
 }
+
+/// A call that its first choice has lost goes to another server.
+#[test]
+fn a_lost_call_goes_elsewhere() {
+    let mut s = Script::new(settings(), 2);
+    assert_eq!(starts(&s.event(Event::Call(call(1, 0)))), vec![(1, 0)]);
+    s.ended(1, 0, 0, Outcome::Cancelled);
+    assert_eq!(starts(&s.pass(settings().release_wait + 100 * MS)), vec![(1, 1)]);
+}
