Take a server's answer for the attempt that is out, whatever number its CSeq has

Servers answer with that number whatever the INVITE's was (PROTOCOL: Call-ID matches, and for answers the method in CSeq). answered() in sip/link.rs wanted attempt + 1, so it ACKed the answer and sent a BYE, which cut the call that stood. Now an answer belongs to the attempt that is open on its connection; a number other than 1 still has to fit. Checked: the ENUM front matches by id and question and has no such number. Ruled out: the release wait (the attempts went out) and the module (it was never told).

--- a/proxy/src/sip/link.rs
+++ b/proxy/src/sip/link.rs
@@ -428,8 +428,12 @@
     }
 
     /// A final response to an `INVITE`. Whoever it is for, it gets its `ACK`.
+    ///
+    /// It is matched by call and connection. Guards against taking all answers but the first attempt's for late
+    /// ones: servers answer with `CSeq: 1 INVITE` whatever number was asked. Any other number has to fit.
     fn answered(&mut self, conn: u64, call: CallId, sequence: u32, status: u16, m: Message) -> Vec<Input> {
-        let known = self.setups.get(&call).is_some_and(|o| o.attempt + 1 == sequence && o.conn == conn);
+        let fits = |o: &Out| o.conn == conn && (sequence == 1 || sequence == o.attempt + 1);
+        let known = self.setups.get(&call).is_some_and(fits);
         // Guards the caller against a description that is noise, and the other set-ups against the connection,
         // which can't be trusted any more. The call may stand there, so it is released.
         if known && status < 300 && !m.describes() {
--- a/proxy/src/sip/mod.rs
+++ b/proxy/src/sip/mod.rs
@@ -87,7 +87,7 @@
     }
 }
 
-/// The `INVITE` of an attempt. Its `CSeq` counts the call's attempts, so that answers tell them apart.
+/// The `INVITE` of an attempt. Its `CSeq` counts the call's attempts; a server need not repeat it in its answer.
 pub fn invite(setup: &Setup, class: &str) -> Vec<u8> {
     let mut bytes = request("INVITE", &setup.number, setup.id, setup.attempt + 1, "INVITE");
     bytes.extend(format!("Subject: {class}\r\nX-Patience: {}\r\n", setup.patience / 1000).bytes());
