Use a server that errs where no sound one has room, instead of refusing its calls

Now choose() prefers sound servers that would take the call now or next turn; where none would, the one that errs takes it, up to the last attempt, which is kept for a sound one. A server with nothing but errors still gets tests only, and where sound ones have room an ill one still gets its tests. Ruled out: the list (told in time), the link (orders went out and were answered), the sound server's window (its free lines ran out, not its starts).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -69,8 +69,10 @@
 /// Occupancy below which a server takes calls that would stand late, ratio (ours): they earn little, and at
 /// a server that is only just loaded they take the room of the fresh calls of other nodes.
 const LATE_BELOW: f64 = 0.3;
-/// Share of errors among a server's latest answers from which it is ill, ratio (ours): the least window then.
+/// Share of errors among a server's latest answers from which it is ill, ratio (ours): others go first.
 const ILL: f64 = 0.5;
+/// Share of errors from which a server serves nobody, ratio (ours): the least window then, as a test.
+const HOPELESS: f64 = 0.99;
 /// Calls a tenant may be ahead of its share before the rest count as beyond it (ours).
 const TENANT_SLACK: f64 = 3.0;
 
@@ -283,8 +285,10 @@
                 self.ended(call, attempt, server, outcome, finished, (reason, wait), actions);
             }
             Event::Left(call) => {
-                if let Some(Call { phase: Phase::Out(server), .. }) = self.calls.remove(&call) {
-                    self.no_longer_out(server, call);
+                if let Some(Call { phase: Phase::Out(server), .. }) = self.calls.remove(&call)
+                    && let Some(s) = self.servers.get_mut(&server)
+                {
+                    s.out.remove(&call);
                 }
             }
             Event::Probed { server, report, .. } => self.report(server, report.as_ref()),
@@ -426,8 +430,7 @@
             actions.push(Action::Refuse { call: new.call, hold_off: self.settings.max_hold_off });
             return;
         };
-        let first_try = self.first_try(&new);
-        let goal_at = first_try + goal;
+        let goal_at = self.first_try(&new) + goal;
         let over_share = self.charge_tenant(new.tenant);
         let call = Call {
             class: new.class,
@@ -477,10 +480,6 @@
         false
     }
 
-    fn no_longer_out(&mut self, server: ServerId, call: CallId) -> bool {
-        self.servers.get_mut(&server).is_some_and(|s| s.out.remove(&call).is_some())
-    }
-
     fn stood(&mut self, call: CallId, attempt: u32, server: ServerId, elapsed: Time) {
         if !self.calls.get(&call).is_some_and(|c| c.is_out(attempt, server)) {
             return;
@@ -488,8 +487,8 @@
         if let Some(known) = self.calls.remove(&call) {
             self.tried.remove(&(known.number, known.class));
         }
-        self.no_longer_out(server, call);
         if let Some(s) = self.servers.get_mut(&server) {
+            s.out.remove(&call);
             s.answered(self.now, elapsed);
         }
     }
@@ -526,8 +525,8 @@
             call.may_run.get_or_insert((cell.0, cell.1, sent));
         }
         let busy = outcome == Outcome::Fault && reason == Some(Reason::NumberBusy);
-        let lost = outcome == Outcome::Cancelled;
-        call.erred = Some(server).filter(|_| lost || outcome == Outcome::Fault).or(call.erred);
+        let erred = matches!(outcome, Outcome::Cancelled | Outcome::Fault);
+        call.erred = Some(server).filter(|_| erred).or(call.erred);
         // Departure: a server is kept until it answers full, or with an error.
         if outcome == Outcome::Full || outcome == Outcome::Fault && !busy {
             self.sticky.remove(&call.class);
@@ -560,14 +559,9 @@
     /// What a held call is worth now: its class, whether it would stand late, its tenant's share.
     fn value(&self, call: &Call, late: bool) -> f64 {
         let class = &self.settings.classes[call.class];
-        let mut value = class.worth;
-        if late {
-            value *= class.late_worth;
-        }
-        if call.over_share {
-            value *= self.settings.over_share_worth;
-        }
-        value
+        let late = if late { class.late_worth } else { 1.0 };
+        let over = if call.over_share { self.settings.over_share_worth } else { 1.0 };
+        class.worth * late * over
     }
 
     /// Sends held calls where windows allow, worthiest first and oldest first among equals.
@@ -617,10 +611,25 @@
     /// First choice while its window allows, else the allowed one that last took the class, else any.
     fn choose(&mut self, id: CallId, late: bool) -> Option<ServerId> {
         let call = self.calls.get(&id)?;
-        let allowed: Vec<ServerId> =
-            self.servers.keys().copied().filter(|s| self.allows(*s, call, late)).collect();
-        let first = allowed.iter().find(|s| Some(self.servers[*s].place) == call.first_choice);
-        if let Some(first) = first {
+        let (mut allowed, mut sound_up, mut sound_takes) = (Vec::new(), false, false);
+        // Guards against a call that spends its attempts on a server that errs or has lost it while a sound
+        // one would take it, now or next turn; the last attempt is kept for a sound one. A server that errs is
+        // better than none: not all of its answers are errors. What went wrong at a sound one does so again.
+        let sound = |id: &ServerId| self.servers[id].ill < ILL && call.erred != Some(*id);
+        for (id, s) in &self.servers {
+            let takes = self.takes(s, call, late);
+            if takes && f64::from(s.turn_starts) < s.window.per_turn {
+                allowed.push(*id);
+            }
+            sound_up |= sound(id) && s.down.is_none() && s.ready;
+            sound_takes |= sound(id) && s.down.is_none() && takes;
+        }
+        let own = call.erred.and_then(|id| self.servers.get(&id)).is_some_and(|s| s.ill < ILL);
+        if sound_up && (sound_takes || own || call.attempts + 1 >= self.settings.attempt_limit) {
+            // Guards against a server that is well again and never asked: some calls are its tests.
+            allowed.retain(|id| sound(id) || call.attempts == 0 && self.servers[id].wants_test());
+        }
+        if let Some(first) = allowed.iter().find(|s| Some(self.servers[*s].place) == call.first_choice) {
             return Some(*first);
         }
         if call.in_transit || allowed.is_empty() {
@@ -629,23 +638,18 @@
         if let Some(last) = self.sticky.get(&call.class).filter(|s| allowed.contains(s)) {
             return Some(*last);
         }
-        let class = call.class;
         let drawn = allowed[self.rng.next_u32() as usize % allowed.len()];
         // The class keeps its server while that is merely not allowed at the moment; a full one is forgotten.
-        self.sticky.entry(class).or_insert(drawn);
+        self.sticky.entry(call.class).or_insert(drawn);
         Some(drawn)
     }
 
-    fn allows(&self, id: ServerId, call: &Call, late: bool) -> bool {
-        let (s, class) = (&self.servers[&id], &self.settings.classes[call.class]);
-        let open = s.down.is_none() || s.out.is_empty();
-        // Guards against a call that spends all its attempts on a server that errs or loses it.
-        let others = || self.servers.iter().any(|(n, o)| *n != id && o.ready && o.down.is_none());
-        let open = open && (call.erred != Some(id) || !others());
+    /// Whether a server may have the call, be it next turn.
+    fn takes(&self, s: &Server, call: &Call, late: bool) -> bool {
+        let class = &self.settings.classes[call.class];
         s.ready
-            && open
+            && (s.down.is_none() || s.out.is_empty())
             && self.now >= s.skip_until
-            && f64::from(s.turn_starts) < s.window.per_turn
             && s.free.is_none_or(|free| free >= call.units)
             && self.settings.own_place != Some(s.place)
             && class.places.as_ref().is_none_or(|p| p.contains(&s.place))
@@ -657,18 +661,13 @@
     /// Where a call that may have run can go again without being done twice.
     fn may_resend(&self, s: &Server, call: &Call, class: &Class) -> bool {
         let Some((zone, place, sent)) = call.may_run else { return true };
-        match class.effect {
-            Effect::Safe => true,
-            Effect::Unsafe => false,
-            Effect::Keyed => {
-                self.now < sent + class.window
-                    && match class.group {
-                        Group::All => true,
-                        Group::Zone => s.zone == zone,
-                        Group::Place => s.place == place,
-                    }
-            }
-        }
+        let group = match class.group {
+            Group::All => true,
+            Group::Zone => s.zone == zone,
+            Group::Place => s.place == place,
+        };
+        class.effect == Effect::Safe
+            || class.effect == Effect::Keyed && group && self.now < sent + class.window
     }
 
     fn start(&mut self, id: CallId, server: ServerId, actions: &mut Vec<Action>) {
@@ -718,7 +717,7 @@
             (Some(d), _) if !d.unreached => return LEAST_SHARE * usual,
             (Some(_), _) => 0,
             (None, Some(from)) => now.saturating_sub(from),
-            _ if self.ill >= ILL => return LEAST_SHARE * usual,
+            _ if self.ill >= HOPELESS => return LEAST_SHARE * usual,
             (None, None) => {
                 return self.usual.map_or(f64::MAX, |_| OPEN_MOST * usual);
             }
@@ -734,6 +733,11 @@
         share * usual * (settings.fall_multiple * FALL_MARGIN).min(1.0)
     }
 
+    /// Whether one more start belongs to the least window of this OPPUI.
+    fn wants_test(&self) -> bool {
+        f64::from(self.window.starts) < (LEAST_SHARE * self.usual.unwrap_or(0.0)).max(1.0)
+    }
+
     /// Ends the call control period and, at its end, the OPPUI.
     fn roll(&mut self, now: Time, target: f64, (least, most): (f64, f64), even: f64) {
         let usual = self.usual.unwrap_or(even).max(even) * OPEN_MOST;
@@ -770,7 +774,7 @@
             let fewer = w.n.is_none_or(|n| n < 1.0 || started < MIN_FRACTION_CALLS * n);
             if fewer || started > usual {
                 // Few calls say little, so they move it less.
-                smooth(&mut self.usual, started, SMOOTH * even.min(1.0));
+                self.usual = Some(usual + SMOOTH * even.min(1.0) * (started - usual));
             }
         }
         let Some(occ) = occup_past else {
@@ -809,7 +813,7 @@
         let sent = now.saturating_sub(elapsed);
         let elapsed = elapsed as f64;
         self.heard = now;
-        if self.ill >= ILL && self.ill * (1.0 - SMOOTH) < ILL {
+        if self.ill >= HOPELESS {
             self.window.n = self.usual;
         }
         self.ill *= 1.0 - SMOOTH;
@@ -834,7 +838,7 @@
     }
 
     /// Draws what an attempt's end says of the server. Errors in a row mark it as ill: it answers them fast
-    /// and looks idle, so that its window would stay open and its calls would be lost. Could wrong a server
+    /// and looks idle, so that it would draw calls which sound servers have room for. Could wrong a server
     /// that gets bad requests only; the fronts keep those away.
     fn judge(
         &mut self,
@@ -858,7 +862,7 @@
             Outcome::Fault if reason != Some(Reason::NumberBusy) => {
                 self.heard = now;
                 self.ill += SMOOTH * (1.0 - self.ill);
-                if self.ill >= ILL {
+                if self.ill >= HOPELESS {
                     self.window.credit = self.window.credit.min(1.0);
                 }
             }
@@ -889,9 +893,3 @@
 fn figure(value: Option<f64>) -> Option<f64> {
     value.filter(|v| v.is_finite() && *v >= 0.0)
 }
-
-/// Moves a smoothed figure towards a new one by `weight`; the first figure is taken as it is.
-fn smooth(old: &mut Option<f64>, new: f64, weight: f64) {
-    let old = old.get_or_insert(new);
-    *old += weight * (new - *old);
-}
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -403,7 +403,7 @@
     assert_eq!(starts(&actions), vec![(1, 0)]);
 }
 
-/// A server that answers with errors looks idle. Calls leave it after the first one, and it is tested only.
+/// A server that answers with errors alone looks idle. Calls leave it after the first one, and it is tested only.
 #[test]
 fn a_server_that_answers_with_errors_gets_tests_only() {
     let mut s = Script::new(settings(), 2);
@@ -428,6 +428,33 @@
     assert!(bad < 60 && late_bad > 0, "{bad} calls, {late_bad} of them late, to a server with errors");
 }
 
+/// With no room at the sound server, one that answers four in five with an error is used by all calls, thrice at
+/// most: the last attempt is kept for the sound one.
+#[test]
+fn a_server_that_errs_is_better_than_none() {
+    let mut s = Script::new(settings(), 2);
+    s.event(Event::Room(1, Report { free: Some(0.0), ..Report::default() }));
+    let (mut tries, mut stood) = (0, 0);
+    for id in 0..200 {
+        let mut actions = s.event(Event::Call(call(id, 1)));
+        actions.extend(s.pass(50 * MS));
+        let mut open = starts(&actions);
+        while let Some((id, server)) = open.pop() {
+            assert_eq!(server, 0, "no room");
+            tries += 1;
+            let attempt = s.attempt(id);
+            assert!(attempt < 3, "the last attempt");
+            if tries % 5 == 0 {
+                s.event(Event::Stood { call: id, attempt, server, elapsed: 10 * MS });
+                stood += 1;
+            } else {
+                open.extend(starts(&s.ended(id, attempt, server, Outcome::Fault)));
+            }
+        }
+    }
+    assert!(stood > 60, "{stood} of 200 stand after {tries} tries");
+}
+
 /// The only server that is left takes more calls than there are turns, where its window allows them.
 #[test]
 fn a_busy_node_may_use_its_only_server_in_full() {
