--- a/src/choice.rs
+++ b/src/choice.rs
@@ -613,7 +613,7 @@
         let call = self.calls.get(&id)?;
         let (mut allowed, mut sound_up, mut sound_takes) = (Vec::new(), false, false);
         // Guards against a call that spends its attempts on a server that errs or has lost it while a sound
-        // one would take it, now or next turn; the last attempt is kept for a sound one. A server that errs is
+        // one would take it, now or next turn; the last attempt is kept for a sound one. One that errs is
         // better than none: not all of its answers are errors. What went wrong at a sound one does so again.
         let sound = |id: &ServerId| self.servers[id].ill < ILL && call.erred != Some(*id);
         for (id, s) in &self.servers {
