Drop empty lines between a server's messages as they come

Seen on reading sip/mod.rs beside net.rs: an empty line before a message, which keeps a connection alive, was kept as its beginning. With nothing behind it for 250 ms the connection counted as stalled and closed, with all set-ups on it; and while empty lines kept coming their bytes were held without a bound, since decode() counts only what follows them. The decoder now tells what means nothing, and messages() drops it at once. The ENUM front has no such bytes.

--- a/proxy/src/net.rs
+++ b/proxy/src/net.rs
@@ -54,6 +54,10 @@
 /// An incremental parser: looks at the front of what has come so far.
 pub trait Decode {
     type Message;
+    /// How many bytes at the front mean nothing. They are dropped as they come.
+    fn blank(&self, _bytes: &[u8]) -> usize {
+        0
+    }
     /// The first whole message and how many bytes it takes, or nothing yet.
     fn decode(&mut self, bytes: &[u8]) -> Result<Option<(Self::Message, usize)>, WireError>;
 }
@@ -81,6 +85,7 @@
     let state = State { reader, decoder, bytes: Vec::new(), taken: 0, chunk: vec![0; read], begun: None };
     stream::try_unfold(state, move |mut s| async move {
         loop {
+            s.taken += s.decoder.blank(&s.bytes[s.taken..]);
             if let Some((message, used)) = s.decoder.decode(&s.bytes[s.taken..])? {
                 s.taken += used;
                 s.begun = None;
--- a/proxy/src/sip/mod.rs
+++ b/proxy/src/sip/mod.rs
@@ -120,10 +120,13 @@
 impl Decode for Decoder {
     type Message = Message;
 
+    /// Empty lines before a message keep a connection alive. Guards against taking them for a message whose
+    /// rest does not come, and the memory against any number of them.
+    fn blank(&self, bytes: &[u8]) -> usize {
+        bytes.iter().take_while(|b| b"\r\n".contains(b)).count()
+    }
+
     fn decode(&mut self, bytes: &[u8]) -> Result<Option<(Message, usize)>, WireError> {
-        // Empty lines before a message keep a connection alive and mean nothing.
-        let blank = bytes.iter().take_while(|b| b"\r\n".contains(b)).count();
-        let bytes = &bytes[blank..];
         let Some(head) = bytes.windows(4).position(|w| w == b"\r\n\r\n") else {
             return if bytes.len() > self.most { Err(WireError::TooLong) } else { Ok(None) };
         };
@@ -146,7 +149,7 @@
         let whole = (head + 4).checked_add(length).filter(|n| *n <= self.most).ok_or(WireError::TooLong)?;
         let Some(body) = bytes.get(head + 4..whole) else { return Ok(None) };
         message.body = body.to_vec();
-        Ok(Some((message, blank + whole)))
+        Ok(Some((message, whole)))
     }
 }
 
