Keep the calls at a server that refuses new connections, and look at it in turn

Cause: in sip/link.rs, due() took the earlier of connect_at and heard + silent. With calls standing at a server that says nothing for 2 s the link looks whether it lives; a draining server refuses the connect at once, and as the silence was still in the past the next look followed at once, for 2 s, after which told() held the server for vanished and cut its calls, though its connection was open and well.

Change: after a failure the next look is due at connect_at alone; a refusal while another connection is up counts as a sign of life, since a process that dies resets its connections. Test: refuses.txt, with a bound on the processor time; before the change the call is released after 4 s, and 3.6 s use over 500 ms.

--- a/proxy/src/sip/link.rs
+++ b/proxy/src/sip/link.rs
@@ -159,7 +159,9 @@
         // its connections stay open and silent.
         let silent = self.heard + self.shared.limits.silent;
         let silent = Some(silent).filter(|_| !self.standing.is_empty());
-        self.connect_at.into_iter().chain(silent).min()
+        // Guards against a look at a silent server that fails at once and is taken again at once: after a
+        // failure the next one is due at its own time, however long the silence.
+        self.connect_at.or(silent)
     }
 
     fn look(&mut self) -> Vec<Input> {
@@ -344,11 +346,18 @@
                     inputs.extend(self.fail_queue(Outcome::NoRoute));
                 }
                 let now = unix_now();
+                // Guards the calls that stand at a server that drains or has no connection left: one that
+                // refuses while those it has stay open lives, as a process that dies resets them.
+                let refused = kind == io::ErrorKind::ConnectionRefused;
+                if refused && self.conns.values().any(|c| c.up) {
+                    self.lives();
+                    return inputs;
+                }
                 self.connect_at = Some(now + self.shared.limits.reconnect.as_micros() as Time);
                 let since = *self.unreached.get_or_insert(now);
                 // Nobody listens any more, or nothing comes through: the process is gone, and what stood
                 // there with it.
-                let dead = kind == io::ErrorKind::ConnectionRefused && self.conns.is_empty();
+                let dead = refused && self.conns.is_empty();
                 if dead || now - since >= self.shared.limits.vanished {
                     let open: Vec<u64> = self.conns.keys().copied().collect();
                     inputs.extend(open.into_iter().flat_map(|c| self.lose(c)).collect::<Vec<_>>());
--- a/proxy/tests/play/mod.rs
+++ b/proxy/tests/play/mod.rs
@@ -163,6 +163,12 @@
                     return Err(format!("from {} to {now} KB", self.noted));
                 }
             }
+            ("processor", _) => {
+                let (used, most) = (self.processor()?, bytes.parse().map_err(|_| "processor within MS")?);
+                if used > most {
+                    return Err(format!("{used} ms"));
+                }
+            }
             ("silent", n) => {
                 let at = self.address.ok_or("no program")?;
                 for _ in 0..n.rsplit(' ').next().and_then(|n| n.parse().ok()).unwrap_or(0) {
@@ -226,6 +232,14 @@
         line.trim().trim_end_matches(" kB").parse().map_err(|_| format!("no number: {line}"))
     }
 
+    /// Processor time that the program has used, in ms: fields 14 and 15 of its stat, in hundredths of a second.
+    fn processor(&self) -> Result<u64, String> {
+        let id = self.program.as_ref().ok_or("no program")?.child.id();
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).map_err(|e| e.to_string())?;
+        let fields = stat.rsplit(')').next().unwrap_or("").split_whitespace();
+        Ok(fields.skip(11).take(2).filter_map(|ticks| ticks.parse::<u64>().ok()).sum::<u64>() * 10)
+    }
+
     fn signal(&self, name: &str) -> Result<(), String> {
         let id = self.program.as_ref().ok_or("no program")?.child.id().to_string();
         Command::new("kill").args([name, &id]).status().map(drop).map_err(|e| e.to_string())
