Give each server an even part in proportion to its lines, and draw overflow by free lines

Cause: even() in src/choice.rs gave each ready server the same part of the node's calls. It bounds the first windows (most_starts), is the usual rate before one is known, and caps open windows at 1.5 times it; what did not fit went to a server drawn with equal chances. Servers here differ twentyfold in lines.

Ruled out: full processors (23 of 12,760 'full' answers; the rest had no line) and connections (each proxy held one or two a server). Servers state their lines in the report that opens each connection, 31 ms after the start.

Change: an even part is in proportion to the lines stated, unknown ones count as the mean, a replacement has those of its place until it says otherwise; overflow is drawn by free lines.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -174,6 +174,8 @@
     cold_from: Option<Time>,
     window: Window,
     free: Option<f64>,
+    /// Its lines in all, which tell its size.
+    lines: Option<f64>,
     skip_until: Time,
     turn_starts: u32,
     out: BTreeMap<CallId, Time>,
@@ -298,7 +300,7 @@
             Event::Probed { server, report, .. } => self.report(server, report.as_ref()),
             Event::Room(server, report) => {
                 if let Some(s) = self.servers.get_mut(&server) {
-                    s.free = figure(report.free).or(s.free);
+                    s.told_lines(&report);
                 }
             }
             Event::Told(..) | Event::Timer(_) => {}
@@ -336,10 +338,11 @@
         let now = self.now;
         self.tried.retain(|_, (_, until)| now < *until);
         self.call_off_lost(actions);
-        let even = self.even();
+        let (rate, lines) = self.rate_and_lines();
         for server in self.servers.values_mut() {
             server.turn_starts = 0;
             server.notice_silence(now);
+            let even = rate * server.lines.map_or(1.0, |own| own / lines);
             let most = server.most_starts(now, even, &self.settings);
             // All nodes together test a down server once a period, so that few calls do not mean no tests.
             let least = server.down.as_ref().map_or(0.0, |_| 1.0 / f64::from(self.settings.nodes.max(1)));
@@ -347,11 +350,16 @@
         }
     }
 
-    /// An even part of the node's own calls, per server that is ready and period.
-    fn even(&self) -> f64 {
-        let ready = self.servers.values().filter(|s| s.ready).count().max(1) as f64;
+    /// The node's own calls per period and ready server, and the mean lines of these servers. A server's even
+    /// part is in proportion to its lines: guards small servers against the part of a large one, which all
+    /// nodes together would send. Could wrong a server whose lines say nothing of its processor.
+    fn rate_and_lines(&self) -> (f64, f64) {
+        let ready = || self.servers.values().filter(|s| s.ready);
+        let mut lines = Mean::default();
+        ready().filter_map(|s| s.lines).for_each(|l| lines.add(l));
         let seen = self.rate_from.map_or(0.0, |from| (self.now - from) as f64).max(CC_PERIOD as f64);
-        self.rate * CC_PERIOD as f64 / ready / (1.0 - (-seen / RATE_SPAN).exp())
+        let rate = self.rate * CC_PERIOD as f64 / (1.0 - (-seen / RATE_SPAN).exp());
+        (rate / ready().count().max(1) as f64, lines.get().unwrap_or(1.0).max(1.0))
     }
 
     /// Calls off a set-up that later ones have overtaken by far, so that the call can try again in time.
@@ -388,7 +396,8 @@
         for e in entries {
             let phase = Time::from(self.rng.next_u32()) % CC_PERIOD;
             let now = self.now;
-            let usual = self.servers.values().rev().filter(|s| s.place == e.place).find_map(|s| s.usual);
+            let before = || self.servers.values().rev().filter(|s| s.place == e.place);
+            let (usual, lines) = (before().find_map(|s| s.usual), before().find_map(|s| s.lines));
             let server = self.servers.entry(e.server).or_insert_with(|| Server {
                 zone: e.zone,
                 place: e.place,
@@ -404,6 +413,7 @@
                     ..Window::default()
                 },
                 free: None,
+                lines,
                 skip_until: 0,
                 turn_starts: 0,
                 out: BTreeMap::new(),
@@ -544,7 +554,7 @@
 
     fn report(&mut self, server: ServerId, report: Option<&Report>) {
         let (Some(s), Some(r)) = (self.servers.get_mut(&server), report) else { return };
-        s.free = figure(r.free).or(s.free);
+        s.told_lines(r);
         let occupancy = figure(r.occupancy).filter(|o| *o <= 1.0);
         if let Some(occ) = occupancy.or(figure(r.wait).map(|w| w / self.target)) {
             s.window.reported.add(occ);
@@ -639,7 +649,11 @@
         if let Some(last) = self.sticky.get(&call.class).filter(|s| allowed.contains(s)) {
             return Some(*last);
         }
-        let drawn = allowed[self.rng.next_u32() as usize % allowed.len()];
+        // Departure: drawn by free lines, as servers of all sizes are listed.
+        let room = |id: &ServerId| self.servers[id].free.unwrap_or(1.0).max(f64::MIN_POSITIVE);
+        let all: f64 = allowed.iter().map(room).sum();
+        let mut left = all * f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+        let drawn = *allowed.iter().find(|id| (left -= room(id), left <= 0.0).1).unwrap_or(&allowed[0]);
         // The class keeps its server while that is merely not allowed at the moment; a full one is forgotten.
         self.sticky.entry(call.class).or_insert(drawn);
         Some(drawn)
@@ -705,6 +719,11 @@
         self.free = None;
     }
 
+    fn told_lines(&mut self, report: &Report) {
+        self.free = figure(report.free).or(self.free);
+        self.lines = figure(report.lines).filter(|l| *l >= 1.0).or(self.lines);
+    }
+
     /// Most starts a period may have. Warm: a little over the usual.
     ///
     /// Cold: guard against a server pushed over by all nodes together. A node sends what it usually sent to
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -582,3 +582,28 @@
     s.ended(1, 0, 0, Outcome::Cancelled);
     assert_eq!(starts(&s.pass(settings().release_wait + 100 * MS)), vec![(1, 1)]);
 }
+
+/// Starts at the second server in 20 s with a call for the first one every second; `lines` is what both report.
+fn sent_to_the_small_one(lines: [f64; 2]) -> usize {
+    let mut s = Script::new(settings(), 2);
+    for (server, lines) in lines.into_iter().enumerate() {
+        let report = Report { free: Some(lines), lines: Some(lines), ..Report::default() };
+        s.event(Event::Room(server as ServerId, report));
+    }
+    for id in 0..20 {
+        let mut sent = starts(&s.event(Event::Call(call(id, 0))));
+        sent.extend(starts(&s.pass(S)));
+        for (call, server) in sent {
+            s.stood(call, server, 40 * MS);
+        }
+    }
+    starts(&s.seen.iter().map(|(_, a)| a.clone()).collect::<Vec<_>>()).iter().filter(|c| c.1 == 1).count()
+}
+
+#[test]
+fn an_even_part_is_in_proportion_to_lines() {
+    // Of a call a second the even part of two servers is half a call, which holds every other call of the first;
+    // of lines as 19 to 1 it is nearly all.
+    let (by_count, by_lines) = (sent_to_the_small_one([500.0, 500.0]), sent_to_the_small_one([950.0, 50.0]));
+    assert!(by_count > 2 * by_lines, "{by_count} by count, {by_lines} by lines");
+}
