Draw overflow as before where no server states its lines

The draw by free lines is now the remainder of the same random number, which is the old index where all weigh the same.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -650,10 +650,10 @@
             return Some(*last);
         }
         // Departure: drawn by free lines, as servers of all sizes are listed.
-        let room = |id: &ServerId| self.servers[id].free.unwrap_or(1.0).max(f64::MIN_POSITIVE);
+        let room = |id: &ServerId| self.servers[id].free.unwrap_or(1.0).max(1.0);
         let all: f64 = allowed.iter().map(room).sum();
-        let mut left = all * f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
-        let drawn = *allowed.iter().find(|id| (left -= room(id), left <= 0.0).1).unwrap_or(&allowed[0]);
+        let mut left = f64::from(self.rng.next_u32()) % all;
+        let drawn = *allowed.iter().find(|id| (left -= room(id), left < 0.0).1).unwrap_or(&allowed[0]);
         // The class keeps its server while that is merely not allowed at the moment; a full one is forgotten.
         self.sticky.entry(call.class).or_insert(drawn);
         Some(drawn)
