Let each node take its own part of a server's last free lines

All 306 proxies hear of the same lines within half a second, and takes() in src/choice.rs let each of them send as long as one was free.

Change: below 0.06 of its lines a server gets from each node what the node's own ended calls give back, and by half periods the node's part of the free lines, as of the calls that stand, or an equal part; a set-up that does not stand gives its line back. Test: the_last_free_lines_are_shared_by_all_nodes.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,7 +7,7 @@
 use crate::interface::*;
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Call control period, us (design): N counts the starts within it.
 pub const CC_PERIOD: Time = 1_000_000;
@@ -44,7 +44,7 @@
 const TARGET_OF_REPEAT: f64 = 0.75;
 /// Most of a set-up's delay that is not waiting, over the target (ours): the least seen may have waited too.
 const FLOOR_MOST: f64 = 0.5;
-/// One turn, us (ours): how often held calls are looked at.
+/// One turn, us (ours).
 const TURN: Time = 25_000;
 /// A held call that expires within this is given up, and one that was not sent waits half of it, us (ours).
 const MARGIN: Time = 50_000;
@@ -77,6 +77,8 @@
 const ILL: f64 = 0.5;
 /// Share of errors from which a server serves nobody, ratio (ours): the least window then, as a test.
 const HOPELESS: f64 = 0.99;
+/// Share of free lines below which nodes keep to their part (ours): what calls of 8 s give back in 0.5 s.
+const LINES_SHORT: f64 = 0.06;
 /// Calls a tenant may be ahead of its share before the rest count as beyond it (ours).
 const TENANT_SLACK: f64 = 3.0;
 
@@ -166,6 +168,7 @@
     unreached: bool,
 }
 
+#[derive(Default)]
 struct Server {
     zone: u32,
     place: Place,
@@ -174,8 +177,11 @@
     cold_from: Option<Time>,
     window: Window,
     free: Option<f64>,
-    /// Its lines in all, which tell its size.
     lines: Option<f64>,
+    /// Lines that this node may still take now.
+    room: f64,
+    /// Its calls that stand there.
+    standing: BTreeSet<CallId>,
     skip_until: Time,
     turn_starts: u32,
     out: BTreeMap<CallId, Time>,
@@ -342,6 +348,7 @@
         for server in self.servers.values_mut() {
             server.turn_starts = 0;
             server.notice_silence(now);
+            server.hand_out_lines(f64::from(self.settings.nodes.max(1)));
             let even = rate * server.lines.map_or(1.0, |own| own / lines);
             let most = server.most_starts(now, even, &self.settings);
             // All nodes together test a down server once a period, so that few calls do not mean no tests.
@@ -350,9 +357,8 @@
         }
     }
 
-    /// The node's own calls per period and ready server, and the mean lines of these servers. A server's even
-    /// part is in proportion to its lines: guards small servers against the part of a large one, which all
-    /// nodes together would send. Could wrong a server whose lines say nothing of its processor.
+    /// The node's own calls per period and ready server, and the mean lines of these. An even part goes by
+    /// lines. Guards small servers against a large one's part, which all nodes together would send.
     fn rate_and_lines(&self) -> (f64, f64) {
         let ready = || self.servers.values().filter(|s| s.ready);
         let mut lines = Mean::default();
@@ -401,9 +407,6 @@
             let server = self.servers.entry(e.server).or_insert_with(|| Server {
                 zone: e.zone,
                 place: e.place,
-                ready: false,
-                started: None,
-                cold_from: None,
                 window: Window {
                     period: now + phase,
                     interval: now + phase,
@@ -412,21 +415,12 @@
                     per_turn: STARTS_PER_TURN,
                     ..Window::default()
                 },
-                free: None,
                 lines,
-                skip_until: 0,
-                turn_starts: 0,
-                out: BTreeMap::new(),
+                room: f64::MAX,
                 heard: now,
-                judged_from: 0,
-                occup: 0.0,
-                idle_at: 0,
-                answered_sent: 0,
-                down: None,
-                ill: 0.0,
                 floor: f64::MAX,
-                delay: 0.0,
                 usual,
+                ..Server::default()
             });
             server.ready = e.state == State::Ready;
             if let Some(at) = e.started.filter(|at| Some(*at) > server.started) {
@@ -503,6 +497,7 @@
         }
         if let Some(s) = self.servers.get_mut(&server) {
             s.out.remove(&call);
+            s.standing.insert(call);
             s.answered(self.now, elapsed, self.target);
         }
     }
@@ -519,11 +514,15 @@
         actions: &mut Vec<Action>,
     ) {
         let now = self.now;
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.room += f64::from(s.standing.remove(&id));
+        }
         let Some(call) = self.calls.get_mut(&id).filter(|c| c.is_out(attempt, server)) else { return };
         let (mut sent, mut cell) = (now, (0, 0));
         if let Some(s) = self.servers.get_mut(&server) {
             sent = s.out.remove(&id).unwrap_or(now);
             cell = (s.zone, s.place);
+            s.room += if reason == Some(Reason::NoLine) { 0.0 } else { call.units };
             s.judge(now, sent, outcome, reason, wait, self.target);
         }
         if finished {
@@ -666,6 +665,7 @@
             && (s.down.is_none() || s.out.is_empty())
             && self.now >= s.skip_until
             && s.free.is_none_or(|free| free >= call.units)
+            && s.room >= 1.0
             && self.settings.own_place != Some(s.place)
             && class.places.as_ref().is_none_or(|p| p.contains(&s.place))
             && self.may_resend(s, call, class)
@@ -701,6 +701,7 @@
         call.called_off = false;
         s.turn_starts += 1;
         s.window.credit -= 1.0;
+        s.room -= call.units;
         s.window.starts += 1;
         s.out.insert(id, now);
         actions.push(Action::Start { call: id, server, limit: None });
@@ -724,6 +725,18 @@
         self.lines = figure(report.lines).filter(|l| *l >= 1.0).or(self.lines);
     }
 
+    /// Guards the last free lines, which all nodes hear of at once, against being taken by each: a node
+    /// has those that its own calls give back, and by half periods its part of the free ones, as of the calls
+    /// that stand, or an equal part, so that one that has just started is not left out.
+    fn hand_out_lines(&mut self, nodes: f64) {
+        let (Some(free), Some(lines)) = (self.free, self.lines) else { return };
+        let part = self.standing.len() as f64 / (lines - free).max(1.0);
+        let room = free * part.clamp(1.0 / nodes, 1.0);
+        let more = 2.0 * room * TURN as f64 / CC_PERIOD as f64;
+        let short = free < LINES_SHORT * lines;
+        self.room = if short { (self.room + more).min(room.max(1.0)) } else { f64::MAX };
+    }
+
     /// Most starts a period may have. Warm: a little over the usual.
     ///
     /// Cold: guard against a server pushed over by all nodes together. A node sends what it usually sent to
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -607,3 +607,24 @@
     let (by_count, by_lines) = (sent_to_the_small_one([500.0, 500.0]), sent_to_the_small_one([950.0, 50.0]));
     assert!(by_count > 2 * by_lines, "{by_count} by count, {by_lines} by lines");
 }
+
+#[test]
+fn the_last_free_lines_are_shared_by_all_nodes() {
+    // All 300 nodes hear that 4 of 100 lines are free: one call goes there, the rest elsewhere.
+    let mut s = Script::new(Settings { nodes: 300, ..settings() }, 2);
+    for (server, free) in [(0, 4.0), (1, 90.0)] {
+        let report = Report { free: Some(free), lines: Some(100.0), ..Report::default() };
+        s.event(Event::Room(server, report));
+    }
+    s.pass(50 * MS);
+    let mut sent = Vec::new();
+    for id in 0..5 {
+        sent.extend(starts(&s.event(Event::Call(call(id, 0)))));
+        sent.extend(starts(&s.pass(100 * MS)));
+    }
+    assert_eq!(sent, [(0, 0), (1, 1), (2, 1), (3, 1), (4, 1)]);
+    // The line of an own call that ends is this node's again.
+    s.stood(0, 0, 40 * MS);
+    s.ended(0, 0, 0, Outcome::Done);
+    assert_eq!(starts(&s.event(Event::Call(call(5, 0)))), [(5, 0)]);
+}
