Use a further connection once the server spoke on it, and come back out of step

Need: connections at setup servers are scarce with 300 proxies, and all of them lose a server at one moment.

Change: a connection on which the server has said nothing gets no set-up while another has been spoken on (each begins with the server's report); after one that was closed unsaid or refused no further one is asked for 10 s on average; the waits are drawn between half and one and a half times their mean. Test: sparing.txt.

--- a/proxy/src/feed.rs
+++ b/proxy/src/feed.rs
@@ -2,7 +2,7 @@
 
 use crate::hub::{ListedServer, Message};
 use crate::limits::Limits;
-use crate::net::{Decode, WireError, messages, within, write_all};
+use crate::net::{Decode, WireError, drawn, messages, within, write_all};
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use fernspan_core::{Entry, ListKind, State};
@@ -103,7 +103,7 @@
                 if let Err(e) = self.follow().await {
                     eprintln!("command channel: {e}");
                 }
-                Timer::after(self.limits.feed_retry).await;
+                Timer::after(drawn(self.limits.feed_retry)).await;
                 None
             };
             // Without a reload to come it waits here for ever, as it should.
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -56,12 +56,14 @@
     pub silent: Time,
     /// A server that cannot be reached for so long has vanished, and its calls with it.
     pub vanished: Time,
-    /// Wait before a server is connected to again.
+    /// Wait before a server is connected to again, on average.
     pub reconnect: Duration,
+    /// How long no further connection is asked of a server that had none left, on average.
+    pub sparing: Duration,
     /// Silence after which the command channel is connected to again. It says something every second, and
     /// what it tells counts as told 4 s after it has stopped: this, the retry and a connect stay under that.
     pub feed_silence: Duration,
-    /// Wait before the command channel is connected to again. After a break, that and a connect have 2 s.
+    /// Wait before the command channel is connected to again, on average; half as much again at most. After a break, that and a connect have 2 s.
     pub feed_retry: Duration,
     /// A connection to the command channel that is not up by then failed.
     pub feed_connect: Duration,
@@ -117,6 +119,8 @@
             silent: 2_000_000,
             vanished: 2_000_000,
             reconnect: Duration::from_millis(500),
+            // About as long as a burst of calls, which is when more are asked for.
+            sparing: Duration::from_secs(10),
             feed_silence: Duration::from_millis(2_200),
             feed_retry: Duration::from_millis(200),
             feed_connect: Duration::from_secs(1),
--- a/proxy/src/net.rs
+++ b/proxy/src/net.rs
@@ -20,6 +20,13 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Time)
 }
 
+/// A wait of half to one and a half times `mean`. Guards servers and the command channel against hundreds of
+/// proxies that lost them at one moment and would all come back at another.
+pub fn drawn(mean: Duration) -> Duration {
+    let part = getrandom::u32().map_or(0.5, |r| f64::from(r) / f64::from(u32::MAX));
+    mean.mul_f64(0.5 + part)
+}
+
 /// Why a connection had to end.
 #[derive(Debug)]
 pub enum WireError {
--- a/proxy/src/sip/link.rs
+++ b/proxy/src/sip/link.rs
@@ -4,7 +4,7 @@
 use crate::engine::{CAUSE_NORMAL, End, Input, Order};
 use crate::hub::{self, Backend};
 use crate::limits::Limits;
-use crate::net::{messages, unix_now, within, write_all};
+use crate::net::{drawn, messages, unix_now, within, write_all};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -46,6 +46,7 @@
             standing: BTreeSet::new(),
             releases: Vec::new(),
             connect_at: Some(unix_now()),
+            more_at: 0,
             heard: unix_now(),
             unreached: None,
             draining: false,
@@ -69,6 +70,8 @@
     /// When it came up.
     opened: Time,
     heard: Time,
+    /// Whether the server has said anything on it.
+    spoken: bool,
     /// When the first set-up went out since it was heard last.
     asked: Option<Time>,
 }
@@ -103,6 +106,8 @@
     releases: Vec<(CallId, u8)>,
     /// When to connect again.
     connect_at: Option<Time>,
+    /// No further connection is opened before: the server has none left.
+    more_at: Time,
     /// When the server last gave any sign of life.
     heard: Time,
     /// Since when it cannot be reached.
@@ -228,12 +233,18 @@
     }
 
     /// The connection with the fewest set-ups open, and how many these are. Guards the others against one that
-    /// has gone dead or is about to be reset: what it does not answer stays open on it, so it gets no more.
+    /// has gone dead or is about to be reset: what it does not answer stays open on it, so it gets no more. Guards
+    /// set-ups against a further connection that a server with none left takes up only to close: each begins
+    /// with the server's word, and is not used before.
     fn least(&self) -> Option<(u64, usize)> {
         let now = unix_now();
         let mut open: BTreeMap<u64, usize> = BTreeMap::new();
         self.setups.values().for_each(|o| *open.entry(o.conn).or_default() += 1);
-        let lives = self.conns.iter().filter(|(_, c)| c.up && !c.quiet(now, self.shared.limits.quiet));
+        let spoken = self.conns.values().any(|c| c.up && c.spoken);
+        let lives = self
+            .conns
+            .iter()
+            .filter(|(_, c)| c.up && (c.spoken || !spoken) && !c.quiet(now, self.shared.limits.quiet));
         let open = |id: &u64| open.get(id).copied().unwrap_or(0);
         let least = lives.min_by_key(|(id, c)| (open(id), c.asked.is_some(), Reverse(c.heard)));
         least.map(|(id, _)| (*id, open(id)))
@@ -247,7 +258,7 @@
         let full = self.conns.len() >= self.shared.limits.server_conns;
         match self.least() {
             Some((id, open)) => {
-                if open > 0 && !full && !connecting {
+                if open > 0 && !full && !connecting && unix_now() >= self.more_at {
                     self.connect();
                 }
                 return self.send(id, setup);
@@ -297,7 +308,8 @@
     fn connect(&mut self) {
         self.next += 1;
         let (write, to_write) = async_channel::bounded(self.shared.limits.link_queue);
-        self.conns.insert(self.next, Conn { write, up: false, opened: 0, heard: 0, asked: None });
+        self.conns
+            .insert(self.next, Conn { write, up: false, opened: 0, heard: 0, spoken: false, asked: None });
         let (id, addr, tell) = (self.next, self.addr, self.tell.clone());
         let shared = self.shared.clone();
         let task = async move {
@@ -351,9 +363,10 @@
                 let refused = kind == io::ErrorKind::ConnectionRefused;
                 if refused && self.conns.values().any(|c| c.up) {
                     self.lives();
+                    self.spare();
                     return inputs;
                 }
-                self.connect_at = Some(now + self.shared.limits.reconnect.as_micros() as Time);
+                self.connect_at = Some(now + drawn(self.shared.limits.reconnect).as_micros() as Time);
                 let since = *self.unreached.get_or_insert(now);
                 // Nobody listens any more, or nothing comes through: the process is gone, and what stood
                 // there with it.
@@ -361,7 +374,7 @@
                 if dead || now - since >= self.shared.limits.vanished {
                     let open: Vec<u64> = self.conns.keys().copied().collect();
                     inputs.extend(open.into_iter().flat_map(|c| self.lose(c)).collect::<Vec<_>>());
-                    self.connect_at = Some(now + self.shared.limits.reconnect.as_micros() as Time);
+                    self.connect_at = Some(now + drawn(self.shared.limits.reconnect).as_micros() as Time);
                     self.standing.clear();
                     inputs.push(Input::Died(self.server));
                 }
@@ -371,6 +384,7 @@
             Told::Message(message) => {
                 if let Some(c) = self.conns.get_mut(&conn) {
                     c.heard = unix_now();
+                    c.spoken = true;
                     c.asked = None;
                 }
                 self.lives();
@@ -379,6 +393,11 @@
         }
     }
 
+    /// Guards a server's few connections against hundreds of proxies that each ask for more, again and again.
+    fn spare(&mut self) {
+        self.more_at = unix_now() + drawn(self.shared.limits.sparing).as_micros() as Time;
+    }
+
     fn lives(&mut self) {
         self.heard = unix_now();
         self.unreached = None;
@@ -394,10 +413,13 @@
     /// A connection has ended, and with it the set-ups open on it; calls that stand outlive it.
     fn lose(&mut self, conn: u64) -> Vec<Input> {
         let lost = self.conns.remove(&conn);
+        if lost.as_ref().is_some_and(|c| c.up && !c.spoken) {
+            self.spare();
+        }
         if self.conns.is_empty() {
             // At once, since a server sends releases that it could not deliver on its next connection; but
             // guards against one that accepts only to close.
-            let wait = self.shared.limits.reconnect.as_micros() as Time;
+            let wait = drawn(self.shared.limits.reconnect).as_micros() as Time;
             let opened = lost.filter(|c| c.up).map_or(unix_now(), |c| c.opened);
             self.connect_at = Some(unix_now().max(opened + wait));
         }
--- a/proxy/tests/recorded.rs
+++ b/proxy/tests/recorded.rs
@@ -17,7 +17,7 @@
 
 recorded! {
     call garbage refusals crossings standing reset vanish drain stop reload rude crowd spoilt churn dead
-    refuses
+    refuses sparing
     enum_answers enum_late enum_tcp enum_errors enum_health
 }
 
