--- a/proxy/src/sip/link.rs
+++ b/proxy/src/sip/link.rs
@@ -1,118 +1,61 @@
-//! The link to one setup server: a few connections, the set-ups on them, and those that wait for one.
+//! The host of a link: opens the connections that it asks for, and carries messages between them and it.
 
 use super::*;
-use crate::engine::{CAUSE_NORMAL, End, Input, Order};
+use crate::engine::{Input, Order};
 use crate::hub::{self, Backend};
 use crate::limits::Limits;
-use crate::net::{drawn, messages, unix_now, within, write_all};
+use crate::net::{messages, unix_now, within, write_all};
+use crate::sip::state::{Do, Link, Shared, Told};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use fernspan_core::{Outcome, Reason, ServerId, Time};
+use fernspan_core::ServerId;
 use futures_lite::{StreamExt, future, pin};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
+use std::time::Duration;
 
-/// What all links share.
+/// Opens links.
 pub struct Setups {
-    pub classes: Vec<String>,
-    /// Whether a full processor states a wait.
-    pub gives_wait: bool,
-    pub limits: Limits,
+    pub shared: Rc<Shared>,
     pub executor: Rc<LocalExecutor<'static>>,
 }
 
-impl Backend for Rc<Setups> {
+impl Backend for Setups {
     fn open(&self, server: ServerId, addr: &str, core: Sender<hub::Message>) -> Sender<Order> {
-        let (orders, to_do) = async_channel::bounded(self.limits.link_queue);
+        let limits = &self.shared.limits;
+        let (orders, to_do) = async_channel::bounded(limits.link_queue);
         let Ok(addr) = addr.parse() else {
             eprintln!("server {server}: no address: {addr}");
             return orders;
         };
-        let (tell, told) = async_channel::bounded(self.limits.link_queue);
-        let link = Link {
-            shared: self.clone(),
-            server,
+        let (tell, told) = async_channel::bounded(limits.link_queue);
+        let draw = || getrandom::u32().map_or(0.5, |r| f64::from(r) / f64::from(u32::MAX));
+        let host = Host {
+            link: Link::new(self.shared.clone(), server, unix_now(), Box::new(draw)),
+            limits: limits.clone(),
+            executor: self.executor.clone(),
             addr,
             core,
             tell,
             conns: BTreeMap::new(),
-            next: 0,
-            queue: VecDeque::new(),
-            setups: BTreeMap::new(),
-            standing: BTreeSet::new(),
-            releases: Vec::new(),
-            connect_at: Some(unix_now()),
-            more_at: 0,
-            heard: unix_now(),
-            unreached: None,
-            draining: false,
         };
-        self.executor.spawn(link.run(to_do, told)).detach();
+        self.executor.spawn(host.run(to_do, told)).detach();
         orders
     }
 }
 
-/// What a connection tells its link.
-enum Told {
-    Up,
-    Failed(io::ErrorKind),
-    Message(Message),
-    Closed,
-}
-
-struct Conn {
-    write: Sender<Vec<u8>>,
-    up: bool,
-    /// When it came up.
-    opened: Time,
-    heard: Time,
-    /// Whether the server has said anything on it.
-    spoken: bool,
-    /// When the first set-up went out since it was heard last.
-    asked: Option<Time>,
-}
-
-impl Conn {
-    /// Whether it has said nothing for too long after a set-up.
-    fn quiet(&self, now: Time, limit: Time) -> bool {
-        self.asked.is_some_and(|at| now > at + limit)
-    }
-}
-
-/// A set-up that is on a connection.
-struct Out {
-    conn: u64,
-    attempt: u32,
-    number: String,
-}
-
-struct Link {
-    shared: Rc<Setups>,
-    server: ServerId,
+struct Host {
+    link: Link,
+    limits: Limits,
+    executor: Rc<LocalExecutor<'static>>,
     addr: SocketAddr,
     core: Sender<hub::Message>,
     tell: Sender<(u64, Told)>,
-    conns: BTreeMap<u64, Conn>,
-    next: u64,
-    queue: VecDeque<Setup>,
-    setups: BTreeMap<CallId, Out>,
-    /// Calls that stand at this server.
-    standing: BTreeSet<CallId>,
-    /// Releases that wait for a connection.
-    releases: Vec<(CallId, u8)>,
-    /// When to connect again.
-    connect_at: Option<Time>,
-    /// No further connection is opened before: the server has none left.
-    more_at: Time,
-    /// When the server last gave any sign of life.
-    heard: Time,
-    /// Since when it cannot be reached.
-    unreached: Option<Time>,
-    draining: bool,
+    /// What is queued for each connection; one that is dropped here closes.
+    conns: BTreeMap<u64, Sender<Vec<u8>>>,
 }
 
 enum Next {
@@ -122,71 +65,50 @@
     End,
 }
 
-impl Link {
+impl Host {
     /// Serves until the core drops its sender: the server is gone, or has moved.
     async fn run(mut self, orders: Receiver<Order>, told: Receiver<(u64, Told)>) {
         loop {
-            let wait = self.due().map(|at| at.saturating_sub(unix_now()));
+            let wait = self.link.due().map(|at| at.saturating_sub(unix_now()));
             let next = future::or(
                 async { orders.recv().await.map_or(Next::End, Next::Order) },
                 future::or(async { told.recv().await.map_or(Next::End, |(c, t)| Next::Told(c, t)) }, async {
                     match wait {
-                        Some(us) => Timer::after(std::time::Duration::from_micros(us)).await,
+                        Some(us) => Timer::after(Duration::from_micros(us)).await,
                         None => future::pending().await,
                     };
                     Next::Connect
                 }),
             )
             .await;
+            let now = unix_now();
             let inputs = match next {
-                Next::Order(order) => self.order(order),
-                Next::Told(conn, told) => self.told(conn, told),
-                Next::Connect => self.look(),
+                Next::Order(order) => self.link.order(now, order),
+                Next::Told(conn, told) => self.link.told(now, conn, told),
+                Next::Connect => self.link.look(now),
                 Next::End => break,
             };
-            self.report(inputs).await;
-        }
-        // What is still out goes with the connections, and what is queued never left.
-        let mut inputs = self.fail_queue(Outcome::NotSent);
-        let open: Vec<u64> = self.conns.keys().copied().collect();
-        for conn in open {
-            inputs.extend(self.lose(conn));
-        }
-        self.report(inputs).await;
-    }
-
-    /// When to connect: after a loss, or to see whether a silent server lives.
-    fn due(&self) -> Option<Time> {
-        if self.conns.values().any(|c| !c.up) {
-            return None;
-        }
-        // Guards against a machine that has vanished with its calls: nobody else tells of it in time, and
-        // its connections stay open and silent.
-        let silent = self.heard + self.shared.limits.silent;
-        let silent = Some(silent).filter(|_| !self.standing.is_empty());
-        // Guards against a look at a silent server that fails at once and is taken again at once: after a
-        // failure the next one is due at its own time, however long the silence.
-        self.connect_at.or(silent)
-    }
-
-    fn look(&mut self) -> Vec<Input> {
-        self.connect_at = None;
-        let busy: BTreeSet<u64> = self.setups.values().map(|o| o.conn).collect();
-        if self.conns.len() >= self.shared.limits.server_conns {
-            match self.conns.keys().copied().find(|id| !busy.contains(id)) {
-                Some(idle) => drop(self.conns.remove(&idle)),
-                // All have set-ups open: these end by their own deadlines first.
-                None => {
-                    self.heard = unix_now();
-                    return Vec::new();
+            self.carry_out(inputs).await;
+        }
+        let inputs = self.link.end();
+        self.carry_out(inputs).await;
+    }
+
+    /// Does what the link wants, and reports to the core.
+    async fn carry_out(&mut self, mut inputs: Vec<Input>) {
+        for todo in self.link.todo() {
+            match todo {
+                Do::Connect(conn) => self.connect(conn),
+                // A connection that takes no more is as good as lost.
+                Do::Write(conn, bytes, setup) => {
+                    let taken = self.conns.get(&conn).is_some_and(|c| c.try_send(bytes).is_ok());
+                    if let Some(call) = setup.filter(|_| !taken) {
+                        inputs.extend(self.link.unsent(call));
+                    }
                 }
+                Do::Close(conn) => drop(self.conns.remove(&conn)),
             }
         }
-        self.connect();
-        Vec::new()
-    }
-
-    async fn report(&self, inputs: Vec<Input>) {
         for input in inputs {
             if self.core.send(hub::Message::Input(input)).await.is_err() {
                 return;
@@ -194,328 +116,28 @@
         }
     }
 
-    fn order(&mut self, order: Order) -> Vec<Input> {
-        match order {
-            Order::Start(setup) => self.start(setup),
-            Order::Cancel(call) => {
-                self.queue.retain(|s| s.id != call);
-                if let Some(out) = self.setups.remove(&call) {
-                    self.write(out.conn, follow_up("CANCEL", &out.number, call, out.attempt + 1, ""));
-                }
-                Vec::new()
-            }
-            Order::Release(call, cause) => {
-                self.standing.remove(&call);
-                self.release(call, cause);
-                Vec::new()
-            }
-            Order::Drain => {
-                // Guards against a set-up that a slow connect would let out after the drain was told.
-                self.draining = true;
-                self.fail_queue(Outcome::NotSent)
-            }
-        }
-    }
-
-    /// Guards against a call that stands for ever at a server that cannot be reached now: its release goes out
-    /// with the next connection.
-    fn release(&mut self, call: CallId, cause: u8) {
-        match self.best() {
-            Some(conn) => drop(self.write(conn, bye(call, cause))),
-            None if self.releases.len() < self.shared.limits.link_queue => self.releases.push((call, cause)),
-            None => {}
-        }
-    }
-
-    /// The connection heard last.
-    fn best(&self) -> Option<u64> {
-        self.conns.iter().filter(|(_, c)| c.up).max_by_key(|(_, c)| c.heard).map(|(id, _)| *id)
-    }
-
-    /// The connection with the fewest set-ups open, and how many these are. Guards the others against one that
-    /// has gone dead or is about to be reset: what it does not answer stays open on it, so it gets no more. Guards
-    /// set-ups against a further connection that a server with none left takes up only to close: each begins
-    /// with the server's word, and is not used before.
-    fn least(&self) -> Option<(u64, usize)> {
-        let now = unix_now();
-        let mut open: BTreeMap<u64, usize> = BTreeMap::new();
-        self.setups.values().for_each(|o| *open.entry(o.conn).or_default() += 1);
-        let spoken = self.conns.values().any(|c| c.up && c.spoken);
-        let lives = self
-            .conns
-            .iter()
-            .filter(|(_, c)| c.up && (c.spoken || !spoken) && !c.quiet(now, self.shared.limits.quiet));
-        let open = |id: &u64| open.get(id).copied().unwrap_or(0);
-        let least = lives.min_by_key(|(id, c)| (open(id), c.asked.is_some(), Reverse(c.heard)));
-        least.map(|(id, _)| (*id, open(id)))
-    }
-
-    /// Sends at once where a connection is known to live, else on the next that comes up. Where all have
-    /// set-ups open, another connection is made for those to come.
-    fn start(&mut self, setup: Setup) -> Vec<Input> {
-        self.draining = false;
-        let connecting = self.conns.values().any(|c| !c.up);
-        let full = self.conns.len() >= self.shared.limits.server_conns;
-        match self.least() {
-            Some((id, open)) => {
-                if open > 0 && !full && !connecting && unix_now() >= self.more_at {
-                    self.connect();
-                }
-                return self.send(id, setup);
-            }
-            // Quiet on all connections there may be: it has to wait its turn there.
-            None if full && !connecting => {
-                if let Some(id) = self.best() {
-                    return self.send(id, setup);
-                }
-            }
-            None => {}
-        }
-        self.queue.push_back(setup);
-        if !connecting {
-            self.connect();
-        }
-        Vec::new()
-    }
-
-    fn send(&mut self, conn: u64, setup: Setup) -> Vec<Input> {
-        let class = self.shared.classes.get(setup.class).map_or("", String::as_str);
-        let bytes = invite(&setup, class);
-        if bytes.len() > self.shared.limits.message || !self.write(conn, bytes) {
-            return vec![self.ended(setup.id, setup.attempt, End::plain(Outcome::NotSent))];
-        }
-        if let Some(c) = self.conns.get_mut(&conn) {
-            c.asked.get_or_insert(unix_now());
-        }
-        self.setups.insert(setup.id, Out { conn, attempt: setup.attempt, number: setup.number });
-        Vec::new()
-    }
-
-    /// Queues bytes for a connection; one that takes no more is as good as lost.
-    fn write(&mut self, conn: u64, bytes: Vec<u8>) -> bool {
-        self.conns.get(&conn).is_some_and(|c| c.write.try_send(bytes).is_ok())
-    }
-
-    fn ended(&self, id: CallId, attempt: u32, end: End) -> Input {
-        Input::Ended { id, attempt, server: self.server, end }
-    }
-
-    fn fail_queue(&mut self, outcome: Outcome) -> Vec<Input> {
-        let queue = std::mem::take(&mut self.queue);
-        queue.into_iter().map(|s| self.ended(s.id, s.attempt, End::plain(outcome))).collect()
-    }
-
-    fn connect(&mut self) {
-        self.next += 1;
-        let (write, to_write) = async_channel::bounded(self.shared.limits.link_queue);
-        self.conns
-            .insert(self.next, Conn { write, up: false, opened: 0, heard: 0, spoken: false, asked: None });
-        let (id, addr, tell) = (self.next, self.addr, self.tell.clone());
-        let shared = self.shared.clone();
+    fn connect(&mut self, id: u64) {
+        let (write, to_write) = async_channel::bounded(self.limits.link_queue);
+        self.conns.insert(id, write);
+        let (addr, tell, limits) = (self.addr, self.tell.clone(), self.limits.clone());
         let task = async move {
-            let up = within(shared.limits.connect, Async::<TcpStream>::connect(addr)).await;
+            let up = within(limits.connect, Async::<TcpStream>::connect(addr)).await;
             let stream = match up.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into())) {
                 Ok(stream) => stream,
                 Err(e) => {
-                    let _ = tell.send((id, Told::Failed(e.kind()))).await;
+                    let refused = e.kind() == io::ErrorKind::ConnectionRefused;
+                    let _ = tell.send((id, Told::Failed { refused })).await;
                     return;
                 }
             };
             let _ = stream.get_ref().set_nodelay(true);
             let _ = tell.send((id, Told::Up)).await;
-            future::or(
-                read(&shared.limits, &stream, id, &tell),
-                write_queue(&shared.limits, &stream, to_write),
-            )
-            .await;
+            future::or(read(&limits, &stream, id, &tell), write_queue(&limits, &stream, to_write)).await;
             drop(stream);
             let _ = tell.send((id, Told::Closed)).await;
         };
-        self.shared.executor.spawn(task).detach();
-    }
-
-    fn told(&mut self, conn: u64, told: Told) -> Vec<Input> {
-        match told {
-            Told::Up => {
-                let Some(c) = self.conns.get_mut(&conn) else { return Vec::new() };
-                c.up = true;
-                c.opened = unix_now();
-                c.heard = c.opened;
-                self.lives();
-                self.retire(conn);
-                for (call, cause) in std::mem::take(&mut self.releases) {
-                    self.write(conn, bye(call, cause));
-                }
-                let queue = match self.draining {
-                    true => return self.fail_queue(Outcome::NotSent),
-                    false => std::mem::take(&mut self.queue),
-                };
-                queue.into_iter().flat_map(|s| self.send(conn, s)).collect()
-            }
-            Told::Failed(kind) => {
-                let mut inputs = self.lose(conn);
-                if !self.conns.values().any(|c| !c.up) {
-                    inputs.extend(self.fail_queue(Outcome::NoRoute));
-                }
-                let now = unix_now();
-                // Guards the calls that stand at a server that drains or has no connection left: one that
-                // refuses while those it has stay open lives, as a process that dies resets them.
-                let refused = kind == io::ErrorKind::ConnectionRefused;
-                if refused && self.conns.values().any(|c| c.up) {
-                    self.lives();
-                    self.spare();
-                    return inputs;
-                }
-                self.connect_at = Some(now + drawn(self.shared.limits.reconnect).as_micros() as Time);
-                let since = *self.unreached.get_or_insert(now);
-                // Nobody listens any more, or nothing comes through: the process is gone, and what stood
-                // there with it.
-                let dead = refused && self.conns.is_empty();
-                if dead || now - since >= self.shared.limits.vanished {
-                    let open: Vec<u64> = self.conns.keys().copied().collect();
-                    inputs.extend(open.into_iter().flat_map(|c| self.lose(c)).collect::<Vec<_>>());
-                    self.connect_at = Some(now + drawn(self.shared.limits.reconnect).as_micros() as Time);
-                    self.standing.clear();
-                    inputs.push(Input::Died(self.server));
-                }
-                inputs
-            }
-            Told::Closed => self.lose(conn),
-            Told::Message(message) => {
-                if let Some(c) = self.conns.get_mut(&conn) {
-                    c.heard = unix_now();
-                    c.spoken = true;
-                    c.asked = None;
-                }
-                self.lives();
-                self.message(conn, message)
-            }
-        }
-    }
-
-    /// Guards a server's few connections against hundreds of proxies that each ask for more, again and again.
-    fn spare(&mut self) {
-        self.more_at = unix_now() + drawn(self.shared.limits.sparing).as_micros() as Time;
-    }
-
-    fn lives(&mut self) {
-        self.heard = unix_now();
-        self.unreached = None;
+        self.executor.spawn(task).detach();
     }
-
-    /// Closes older connections that have gone quiet with nothing open, once a new one is up.
-    fn retire(&mut self, newest: u64) {
-        let (now, limit) = (unix_now(), self.shared.limits.quiet);
-        let busy: Vec<u64> = self.setups.values().map(|o| o.conn).collect();
-        self.conns.retain(|id, c| *id == newest || !c.up || !c.quiet(now, limit) || busy.contains(id));
-    }
-
-    /// A connection has ended, and with it the set-ups open on it; calls that stand outlive it.
-    fn lose(&mut self, conn: u64) -> Vec<Input> {
-        let lost = self.conns.remove(&conn);
-        if lost.as_ref().is_some_and(|c| c.up && !c.spoken) {
-            self.spare();
-        }
-        if self.conns.is_empty() {
-            // At once, since a server sends releases that it could not deliver on its next connection; but
-            // guards against one that accepts only to close.
-            let wait = drawn(self.shared.limits.reconnect).as_micros() as Time;
-            let opened = lost.filter(|c| c.up).map_or(unix_now(), |c| c.opened);
-            self.connect_at = Some(unix_now().max(opened + wait));
-        }
-        let lost: Vec<CallId> =
-            self.setups.iter().filter(|(_, o)| o.conn == conn).map(|(id, _)| *id).collect();
-        let out = lost.into_iter().filter_map(|id| self.setups.remove(&id).map(|o| (id, o)));
-        out.collect::<Vec<_>>()
-            .into_iter()
-            .map(|(id, o)| self.ended(id, o.attempt, End::plain(Outcome::Reset)))
-            .collect()
-    }
-
-    fn message(&mut self, conn: u64, m: Message) -> Vec<Input> {
-        match &m.start {
-            Start::Request { method } => match method.as_str() {
-                "BYE" => {
-                    self.write(conn, m.response("200 OK"));
-                    let Some(id) = m.call() else { return Vec::new() };
-                    self.standing.remove(&id);
-                    let cause = m.cause().unwrap_or(CAUSE_NORMAL);
-                    vec![Input::Over { id, server: self.server, cause, report: m.report() }]
-                }
-                "NOTIFY" => m.report().map(|r| Input::Room(self.server, r)).into_iter().collect(),
-                "OPTIONS" => {
-                    self.write(conn, m.response("200 OK"));
-                    Vec::new()
-                }
-                _ => Vec::new(),
-            },
-            Start::Response { status } => {
-                let status = *status;
-                let Some((sequence, "INVITE")) = m.sequence() else { return Vec::new() };
-                let Some(call) = m.call().filter(|_| status >= 200) else { return Vec::new() };
-                self.answered(conn, call, sequence, status, m)
-            }
-        }
-    }
-
-    /// A final response to an `INVITE`. Whoever it is for, it gets its `ACK`.
-    ///
-    /// It is matched by call and connection. Guards against taking all answers but the first attempt's for late
-    /// ones: servers answer with `CSeq: 1 INVITE` whatever number was asked. Any other number has to fit.
-    fn answered(&mut self, conn: u64, call: CallId, sequence: u32, status: u16, m: Message) -> Vec<Input> {
-        let fits = |o: &Out| o.conn == conn && (sequence == 1 || sequence == o.attempt + 1);
-        let known = self.setups.get(&call).is_some_and(fits);
-        // Guards the caller against a description that is noise, and the other set-ups against the connection,
-        // which can't be trusted any more. The call may stand there, so it is released.
-        if known && status < 300 && !m.describes() {
-            eprintln!("server {}: an answer without a description", self.server);
-            let inputs = self.lose(conn);
-            self.release(call, CAUSE_NORMAL);
-            return inputs;
-        }
-        let out = if known { self.setups.remove(&call) } else { None };
-        let number = out.as_ref().map_or("unknown", |o| &o.number);
-        self.write(conn, follow_up("ACK", number, call, sequence, ""));
-        match out {
-            Some(o) if status < 300 => {
-                self.standing.insert(call);
-                let (attempt, payload) = (o.attempt, m.body.into());
-                vec![Input::Stood { id: call, attempt, server: self.server, payload }]
-            }
-            Some(o) => vec![self.ended(call, o.attempt, refusal(status, &m, self.shared.gives_wait))],
-            // Guards against an answer that crossed its CANCEL: nobody waits for this call here. A second copy
-            // of the answer that stands must not end it.
-            None if status < 300 && !self.standing.contains(&call) => {
-                self.write(conn, bye(call, CAUSE_NORMAL));
-                Vec::new()
-            }
-            None => Vec::new(),
-        }
-    }
-}
-
-fn bye(call: CallId, cause: u8) -> Vec<u8> {
-    follow_up("BYE", "unknown", call, 1, &format!("Reason: Q.850;cause={cause}\r\n"))
-}
-
-/// What a refusal means, as the simulator's adapter reads it.
-fn refusal(status: u16, m: &Message, gives_wait: bool) -> End {
-    let outcome = match status {
-        503 => Outcome::Full,
-        480 => Outcome::NotSent,
-        504 => Outcome::Reset,
-        _ => Outcome::Fault,
-    };
-    let reason = match m.get("X-Note") {
-        Some("congestion") => Some(Reason::NoLine),
-        Some("crankback") => Some(Reason::TurnedBack),
-        Some("throttled" | "remote_throttled") => Some(Reason::ProcessorFull),
-        Some("engaged") => Some(Reason::NumberBusy),
-        _ => None,
-    };
-    let stated = m.get("X-Delay").and_then(|ms| ms.parse::<f64>().ok()).filter(|ms| *ms >= 1.0 && *ms < 1e9);
-    let wait = stated.filter(|_| gives_wait && m.get("X-Note") == Some("throttled"));
-    End { outcome, reason, wait: wait.map(|ms| (ms * 1000.0) as Time), report: m.report() }
 }
 
 async fn read(limits: &Limits, stream: &Async<TcpStream>, id: u64, tell: &Sender<(u64, Told)>) {
--- a/proxy/src/sip/mod.rs
+++ b/proxy/src/sip/mod.rs
@@ -1,6 +1,7 @@
 //! The setup servers' protocol: the part of SIP that the platform uses.
 
 pub mod link;
+pub mod state;
 
 use crate::engine::Setup;
 use crate::net::{Decode, WireError};
