Add the model, the emulator and the rig: a fleet on one machine with faults between its parts

The change: model/ holds what the program balances (setup servers' processors, callers, paths, the list), faults as data, and a checker of thirteen rules, without I/O or clock. rig/ plays it twice: the emulator drives the program's own engines, links and decision modules in virtual time, and fernspan-rig starts the program itself on loopback addresses, one net of 127/8 a run. Scenarios are JSON with a schema; reports are JSON with Arrow series beside them.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run example
+.PHONY: build test lint run example fleet
 
 build:
 	cargo build --release --locked
@@ -16,3 +16,9 @@
 
 example:
 	sh example/run.sh
+
+# Thirty real proxies on a calm day, for half a minute; see docs/RIG.md.
+fleet:
+	cargo build --release --locked -p fernspan -p fernspan-rig
+	target/release/fernspan-rig run rig/scenarios/calm.json --report target/fleet.json
+	target/release/fernspan-rig plot target/fleet.json --out target/fleet.svg
--- /dev/null
+++ b/rig/src/main.rs
@@ -0,0 +1,295 @@
+//! `fernspan-rig`: plays scenarios, checks and plots them. See `docs/RIG.md`.
+#![forbid(unsafe_code)]
+
+use clap::{Parser, Subcommand};
+use fernspan_model::report::Record;
+use fernspan_model::scenario::{self, Scenario};
+use fernspan_rig::emulate::Emulator;
+use fernspan_rig::plot;
+use fernspan_rig::real::{self, Options, Rig};
+use fernspan_rig::series::{self, Report};
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Instant;
+use tracing_subscriber::EnvFilter;
+
+/// A fleet of fernspan on one machine, with faults between its parts
+#[derive(Parser)]
+#[command(name = "fernspan-rig", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays a scenario and says whether the rules were kept
+    Run {
+        /// The scenario, a JSON file
+        file: PathBuf,
+        /// In virtual time, with decision modules in this process, instead of real processes
+        #[arg(long)]
+        emulate: bool,
+        /// Another number of proxies than the scenario's; calls and servers' sizes go with it
+        #[arg(long, value_name = "N")]
+        processes: Option<u32>,
+        /// Another seed than the scenario's
+        #[arg(long, value_name = "N")]
+        seed: Option<u64>,
+        /// Where to write figures as JSON; series go beside it as .callers.arrow and .servers.arrow
+        #[arg(long, value_name = "FILE")]
+        report: Option<PathBuf>,
+        /// The program to start; the one beside this one if not given
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
+        /// A folder for the proxies' logs
+        #[arg(long, value_name = "DIR")]
+        logs: Option<PathBuf>,
+    },
+    /// Reads a scenario and says whether it is good
+    Check {
+        /// The scenario, a JSON file
+        file: PathBuf,
+    },
+    /// Prints the JSON schema of scenarios
+    Schema,
+    /// Draws reports over time; more are drawn over each other
+    Plot {
+        /// Reports that `run --report` wrote
+        #[arg(required = true)]
+        reports: Vec<PathBuf>,
+        /// The plot, an SVG file
+        #[arg(long, short, value_name = "FILE", default_value = "plot.svg")]
+        out: PathBuf,
+    },
+    /// Shows the figures of two reports beside each other
+    Compare {
+        /// A report that `run --report` wrote
+        a: PathBuf,
+        /// Another
+        b: PathBuf,
+    },
+    /// Takes a proxy's limits and becomes it; for the rig's own use
+    #[command(hide = true)]
+    Hold { sockets: u64, parent: i32, program: PathBuf },
+}
+
+/// Exit code for a bad file or a failed start.
+const BAD: u8 = 2;
+
+fn main() -> ExitCode {
+    let filter = EnvFilter::try_from_env("FERNSPAN_RIG_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_target(false).init();
+    let done = match Cli::parse().command {
+        Command::Run { file, emulate, processes, seed, report, program, logs } => {
+            run(&file, emulate, processes, seed, report.as_deref(), program, logs)
+        }
+        Command::Check { file } => read(&file).map(|s| {
+            println!(
+                "{}: {} proxies, {} servers, {} faults: good",
+                s.name,
+                s.proxies.count,
+                s.server_groups().len(),
+                s.faults.len()
+            );
+            ExitCode::SUCCESS
+        }),
+        Command::Schema => {
+            println!("{:#}", scenario::schema());
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Plot { reports, out } => draw(&reports, &out).map(|()| ExitCode::SUCCESS),
+        Command::Compare { a, b } => compare(&a, &b).map(|()| ExitCode::SUCCESS),
+        Command::Hold { sockets, parent, program } => {
+            Err(format!("{}: {}", program.display(), real::hold(sockets, parent, &program)))
+        }
+    };
+    done.unwrap_or_else(|why| {
+        eprintln!("fernspan-rig: {why}");
+        ExitCode::from(BAD)
+    })
+}
+
+fn read(file: &Path) -> Result<Scenario, String> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    scenario::read(&text).map_err(|e| format!("{}: {e}", file.display()))
+}
+
+fn run(
+    file: &Path,
+    emulate: bool,
+    processes: Option<u32>,
+    seed: Option<u64>,
+    report: Option<&Path>,
+    program: Option<PathBuf>,
+    logs: Option<PathBuf>,
+) -> Result<ExitCode, String> {
+    let mut scenario = read(file)?;
+    if let Some(seed) = seed {
+        scenario.seed = seed;
+    }
+    if let Some(count) = processes {
+        scenario.resize(count).map_err(|e| format!("--processes: {e}"))?;
+    }
+    let played = scenario.clone();
+    let begin = Instant::now();
+    let (world, at, machine) = match emulate {
+        true => {
+            let emulator = Emulator::new(scenario).map_err(|e| format!("{}: {e}", file.display()))?;
+            let (world, at, steps) = emulator.run();
+            tracing::info!(steps, took_ms = begin.elapsed().as_millis() as u64, "emulated");
+            (world, at, None)
+        }
+        false => {
+            let options = options(program, logs)?;
+            let rig = Rig::new(scenario, options).map_err(|e| format!("{}: {e}", file.display()))?;
+            let (world, at, machine) = rig.run().map_err(|e| e.to_string())?;
+            (world, at, Some(machine))
+        }
+    };
+    let proxies = world.proxies();
+    let (record, checker) = world.finish(at);
+    let figures = record.figures(proxies, played.channels.len());
+    let said = Report {
+        scenario: played.name.clone(),
+        played: if emulate { "emulated" } else { "real" },
+        seed: played.seed,
+        proxies: played.proxies.count,
+        servers: played.server_groups().len(),
+        seconds: played.seconds,
+        took_s: begin.elapsed().as_secs_f64(),
+        figures,
+        broken: checker.counts().iter().map(|(rule, n)| (rule.to_string(), *n)).collect(),
+        first: series::words(checker.broken()),
+        machine,
+    };
+    if let Some(to) = report {
+        keep(to, &said, &record)?;
+    }
+    print(&said);
+    match checker.broken().first() {
+        None => {
+            println!("rules kept");
+            Ok(ExitCode::SUCCESS)
+        }
+        Some(first) => {
+            println!("rule broken: {first}");
+            Ok(ExitCode::from(1))
+        }
+    }
+}
+
+fn options(program: Option<PathBuf>, logs: Option<PathBuf>) -> Result<Options, String> {
+    let holder = std::env::current_exe().map_err(|e| format!("this program's own name: {e}"))?;
+    let program = program.unwrap_or_else(|| holder.with_file_name("fernspan"));
+    if !program.is_file() {
+        return Err(format!("there is no program {}; name one with --program", program.display()));
+    }
+    let interrupted = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
+        signal_hook::flag::register(signal, interrupted.clone()).map_err(|e| format!("signals: {e}"))?;
+    }
+    Ok(Options { program, holder, logs, interrupted })
+}
+
+fn keep(to: &Path, said: &Report, record: &Record) -> Result<(), String> {
+    let text = serde_json::to_string_pretty(said).map_err(|e| format!("{}: {e}", to.display()))?;
+    std::fs::write(to, text + "\n").map_err(|e| format!("{}: {e}", to.display()))?;
+    series::save(to, record).map_err(|e| format!("{}: {e}", to.display()))
+}
+
+fn print(r: &Report) {
+    let f = &r.figures;
+    println!(
+        "{} ({}, seed {}): {} proxies, {} servers, {} callers in {} s, took {:.1} s",
+        r.scenario, r.played, r.seed, r.proxies, r.servers, f.callers, r.seconds, r.took_s
+    );
+    let fates: Vec<String> =
+        f.fates.iter().filter(|x| *x.1 > 0.0).map(|(name, share)| format!("{name} {share:.3}")).collect();
+    println!("service {:.3}, worst 10 s {:.3}; {}", f.service, f.worst_10_s, fates.join(", "));
+    println!(
+        "stood after {:.0} ms, 90 in 100 after {:.0}, 99 in 100 after {:.0}; second choice {:.3}, attempts {:.3}",
+        f.stood_ms[0], f.stood_ms[1], f.stood_ms[2], f.second_choice, f.attempts
+    );
+    println!(
+        "load spread {:.2}, highest {:.2} / {:.2} / {:.2} in 0.1 / 1 / 10 s, dispersion {:.2}, idle {:.1} s; \
+         wasted {:.3}, connections {:.2}, fall-overs {}",
+        f.load.spread,
+        f.load.highest[0],
+        f.load.highest[1],
+        f.load.highest[2],
+        f.load.dispersion,
+        f.load.idle_s,
+        f.wasted,
+        f.connections,
+        f.falls
+    );
+    if let Some(m) = &r.machine {
+        println!(
+            "late by {:.1} ms, 99 in 100 by {:.1}, most {:.1}; processor time {:.1} s of proxies, {:.1} s of the rig; \
+             a proxy had {:.1} MiB and {} descriptors at most, the rig {}",
+            m.late_ms[0],
+            m.late_ms[1],
+            m.late_ms[2],
+            m.proxies_cpu_s,
+            m.rig_cpu_s,
+            m.proxy_mb,
+            m.proxy_descriptors,
+            m.rig_descriptors
+        );
+        if !m.counts {
+            println!("the machine was too busy: this run does not count");
+        }
+    }
+    for line in r.first.iter().take(5) {
+        println!("  {line}");
+    }
+}
+
+fn report(path: &Path) -> Result<Value, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    serde_json::from_str(&text).map_err(|e| format!("{}: no report: {e}", path.display()))
+}
+
+fn draw(reports: &[PathBuf], out: &Path) -> Result<(), String> {
+    let mut all = Vec::new();
+    for path in reports {
+        let said = report(path)?;
+        let name = path.file_stem().map_or_else(String::new, |s| s.to_string_lossy().into_owned());
+        let played = said["played"].as_str().unwrap_or_default();
+        let series = series::load(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        all.push((format!("{name} ({played})"), series));
+    }
+    plot::draw(out, &all)?;
+    println!("{}", out.display());
+    Ok(())
+}
+
+/// All figures of a report, by their paths.
+fn flat(value: &Value, path: &str, into: &mut Vec<(String, f64)>) {
+    let below = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+    match value {
+        Value::Number(n) => into.extend(n.as_f64().map(|n| (path.to_owned(), n))),
+        Value::Object(map) => map.iter().for_each(|(key, v)| flat(v, &below(key), into)),
+        Value::Array(list) => {
+            list.iter().enumerate().for_each(|(i, v)| flat(v, &below(&i.to_string()), into))
+        }
+        _ => {}
+    }
+}
+
+fn compare(a: &Path, b: &Path) -> Result<(), String> {
+    let (mut left, mut right) = (Vec::new(), Vec::new());
+    flat(&report(a)?, "", &mut left);
+    flat(&report(b)?, "", &mut right);
+    println!("{:<36} {:>12} {:>12} {:>12}", "", a.display(), b.display(), "change");
+    for (name, x) in &left {
+        if let Some((_, y)) = right.iter().find(|r| r.0 == *name) {
+            println!("{name:<36} {x:>12.4} {y:>12.4} {:>+12.4}", y - x);
+        }
+    }
+    Ok(())
+}
