--- a/model/src/world.rs
+++ b/model/src/world.rs
@@ -730,13 +730,7 @@
         let proxies = self.targets(i);
         let servers = self.plan[i].servers.clone();
         match kind.subject() {
-            Subject::Path => {
-                for p in &proxies {
-                    for s in &servers {
-                        self.path_fault(*p, *s, kind, true);
-                    }
-                }
-            }
+            Subject::Path => self.path_faults(&proxies, &servers, kind, true),
             Subject::Server => {
                 for s in servers {
                     self.server_fault_begins(s, kind, by);
@@ -762,13 +756,7 @@
         let proxies = self.targets(i);
         let servers = self.plan[i].servers.clone();
         match kind.subject() {
-            Subject::Path => {
-                for p in &proxies {
-                    for s in &servers {
-                        self.path_fault(*p, *s, kind, false);
-                    }
-                }
-            }
+            Subject::Path => self.path_faults(&proxies, &servers, kind, false),
             Subject::Server => {
                 for s in servers {
                     self.server_fault_ends(s, kind);
@@ -841,6 +829,14 @@
         }
     }
 
+    fn path_faults(&mut self, proxies: &[usize], servers: &[usize], kind: Kind, begins: bool) {
+        for p in proxies {
+            for s in servers {
+                self.path_fault(*p, *s, kind, begins);
+            }
+        }
+    }
+
     fn path_fault(&mut self, p: usize, s: usize, kind: Kind, begins: bool) {
         let n = p * self.places.len() + s;
         let path = &mut self.paths[n];
--- a/rig/src/real.rs
+++ b/rig/src/real.rs
@@ -222,8 +222,8 @@
         if proxies > 250 * 250 || places > 3_000 {
             return Err(Failed::Limit(format!("{proxies} proxies and {places} servers have no addresses")));
         }
-        // A listener for each pair, two connections, callers and the channel.
-        let needs = proxies * places * 3 + proxies * 16 + 64;
+        // A listener for each pair, a connection or two, callers and the channel.
+        let needs = proxies * places * 5 / 2 + proxies * 6 + 64;
         let limit = raise_descriptors(needs as u64);
         if (limit as usize) < needs {
             let why = format!("this run needs some {needs} descriptors, and this machine gives {limit}");
