--- a/rig/tests/faults.rs
+++ b/rig/tests/faults.rs
@@ -189,6 +189,20 @@
     assert_eq!((serving(3.0), serving(5.0), serving(8.0)), (4, 2, 4));
 }
 
+/// All connections are reset at the moment in which proxies die, stop and end: their next ones are just opening.
+#[test]
+fn a_proxy_may_die_while_its_connections_open() {
+    let (record, checker) = play(
+        r#"{"at_s": 4, "kind": "reset", "servers": ["all"], "proxies": ["all"]},
+        {"at_s": 4.0001, "for_s": 1, "kind": "kill", "proxies": ["p0"]},
+        {"at_s": 4.0001, "for_s": 1, "kind": "pause", "proxies": ["p1"]},
+        {"at_s": 4.0001, "for_s": 1, "kind": "restart", "proxies": ["p2"]}"#,
+    );
+    kept(&checker);
+    assert_eq!((record.serving[30], record.serving[100]), (4, 4));
+    assert!(record.service(8_000_000, 12_000_000) > Some(0.7));
+}
+
 #[test]
 fn a_stopped_proxy_answers_nothing_and_goes_on() {
     let (record, checker) =
--- a/rig/tests/fleet.rs
+++ b/rig/tests/fleet.rs
@@ -162,6 +162,14 @@
     }
 }
 
+/// Guards editors and other tools against an old schema. Written by `fernspan-rig schema`.
+#[test]
+fn the_schema_in_the_repository_is_the_programs() {
+    let (output, text) = rig(&["schema"]);
+    assert_eq!(output.status.code(), Some(0));
+    assert_eq!(text, include_str!("../scenario.schema.json"));
+}
+
 /// Guards this machine: nothing that a run started may outlive it, however it ends.
 #[test]
 fn an_interrupted_or_killed_run_leaves_no_process() {
