Plot what servers refused by cause, and keep the causes in a run's series

Need: a plot said how callers fared, not why servers turned set-ups away. Samples have throttled, congestion and error by themselves now, and a fourth panel draws them.

--- a/model/src/report.rs
+++ b/model/src/report.rs
@@ -37,8 +37,12 @@
     pub setups: u64,
     /// Set-ups that stood.
     pub stood: u64,
-    /// Set-ups that it turned away.
-    pub refused: u64,
+    /// Set-ups that it turned away since its processor was full.
+    pub throttled: u64,
+    /// Set-ups that it turned away for want of a line.
+    pub congestion: u64,
+    /// Set-ups that ended with an error.
+    pub errors: u64,
     /// Work taken up, in seconds of a warm processor.
     pub work: f64,
     /// Of it, for nothing.
@@ -308,7 +312,9 @@
                     site: 0,
                     setups: if server == 0 { 1 } else { 2 * (i % 2) },
                     stood: 0,
-                    refused: 0,
+                    throttled: 0,
+                    congestion: 0,
+                    errors: 0,
                     work: 0.0,
                     wasted: 0.0,
                     rate: 20.0,
--- a/model/src/server.rs
+++ b/model/src/server.rs
@@ -84,8 +84,12 @@
     pub setups: u64,
     /// Set-ups that stood.
     pub stood: u64,
-    /// Set-ups turned away.
-    pub refused: u64,
+    /// Set-ups turned away since the processor was full.
+    pub throttled: u64,
+    /// Set-ups turned away for want of a line.
+    pub congestion: u64,
+    /// Set-ups that ended with an error.
+    pub errors: u64,
     /// Work done, in seconds of a warm processor.
     pub work: f64,
     /// Of it, work for what did not stand.
@@ -308,7 +312,11 @@
         };
         match no {
             Some(no) => {
-                self.tally.refused += 1;
+                match no {
+                    No::Throttled(_) => self.tally.throttled += 1,
+                    No::Congestion => self.tally.congestion += 1,
+                    No::Error => self.tally.errors += 1,
+                }
                 out.push(Does::Refuses(id, no));
                 self.enqueue(Job::Other, now);
             }
@@ -423,6 +431,7 @@
                 if self.erring > 0.0 && self.draw.chance(self.erring) {
                     self.calls.remove(&id);
                     self.tally.wasted += SETUP / self.rate;
+                    self.tally.errors += 1;
                     out.push(Does::Refuses(id, No::Error));
                 } else {
                     self.calls.insert(id, Stage::Answering);
--- a/rig/src/plot.rs
+++ b/rig/src/plot.rs
@@ -3,12 +3,13 @@
 
 use crate::series::Series;
 use fernspan_model::callers::{FATES, Fate};
-use fernspan_model::report::worth;
+use fernspan_model::report::{Sample, worth};
 use plotters::prelude::*;
+use std::collections::BTreeMap;
 use std::path::Path;
 
 /// Width and height of a plot, in pixels.
-const SIZE: (u32, u32) = (960, 900);
+const SIZE: (u32, u32) = (960, 1200);
 
 type Line = (String, Vec<(f64, f64)>);
 
@@ -20,7 +21,7 @@
     let fail = |e: DrawingAreaErrorKind<std::io::Error>| format!("{}: {e}", to.display());
     let root = SVGBackend::new(to, SIZE).into_drawing_area();
     root.fill(&WHITE).map_err(fail)?;
-    let parts = root.split_evenly((3, 1));
+    let parts = root.split_evenly((4, 1));
     let service: Vec<Line> = reports.iter().map(|(n, s)| (n.clone(), by_second(s, worth))).collect();
     panel(&parts[0], "Service by second of the first try", 1.05, &service).map_err(fail)?;
     let load = match reports {
@@ -45,9 +46,35 @@
     }
     let top = rest.iter().flat_map(|l| &l.1).map(|p| p.1).fold(0.05, f64::max);
     panel(&parts[2], "Share of callers who did not stand in time", top * 1.05, &rest).map_err(fail)?;
+    let mut causes = Vec::new();
+    for (name, series) in reports {
+        for (cause, line) in refused(series) {
+            if line.iter().any(|p| p.1 > 0.0) {
+                let label = if reports.len() == 1 { cause.to_owned() } else { format!("{name}, {cause}") };
+                causes.push((label, line));
+            }
+        }
+    }
+    let top = causes.iter().flat_map(|l| &l.1).map(|p| p.1).fold(1.0, f64::max);
+    panel(&parts[3], "Set-ups that servers refused, by second and cause", top * 1.05, &causes)
+        .map_err(fail)?;
     root.present().map_err(fail)
 }
 
+/// Set-ups that servers refused, by second, for each cause.
+fn refused(series: &Series) -> [(&'static str, Vec<(f64, f64)>); 3] {
+    let line = |of: fn(&Sample) -> u64| {
+        let mut seconds: BTreeMap<u64, u64> = BTreeMap::new();
+        series.samples.iter().for_each(|s| *seconds.entry(s.at / 1_000_000).or_default() += of(s));
+        seconds.into_iter().map(|(s, n)| (s as f64 + 0.5, n as f64)).collect()
+    };
+    [
+        ("throttled", line(|s| s.throttled)),
+        ("congestion", line(|s| s.congestion)),
+        ("error", line(|s| s.errors)),
+    ]
+}
+
 fn panel<DB: DrawingBackend>(
     area: &DrawingArea<DB, plotters::coord::Shift>,
     title: &str,
--- a/rig/tests/fleet.rs
+++ b/rig/tests/fleet.rs
@@ -238,7 +238,8 @@
         let (output, _) = rig(&args);
         assert_eq!(output.status.code(), Some(0));
         let drawn = std::fs::read_to_string(&svg).expect("a plot");
-        assert!(drawn.contains("Service by second") && drawn.matches("<polyline").count() > 5);
+        assert!(drawn.contains("Service by second") && drawn.contains("refused, by second and cause"));
+        assert!(drawn.matches("<polyline").count() > 5);
     }
     let (output, text) = rig(&["compare", &reports[0], &reports[1]]);
     assert_eq!(output.status.code(), Some(0));
