--- a/model/src/report.rs
+++ b/model/src/report.rs
@@ -2,6 +2,7 @@
 
 use crate::Time;
 use crate::callers::{FATES, Fate};
+use crate::server::Tally;
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -33,20 +34,8 @@
     pub server: usize,
     /// Its site.
     pub site: usize,
-    /// Set-ups that arrived.
-    pub setups: u64,
-    /// Set-ups that stood.
-    pub stood: u64,
-    /// Set-ups that it turned away since its processor was full.
-    pub throttled: u64,
-    /// Set-ups that it turned away for want of a line.
-    pub congestion: u64,
-    /// Set-ups that ended with an error.
-    pub errors: u64,
-    /// Work taken up, in seconds of a warm processor.
-    pub work: f64,
-    /// Of it, for nothing.
-    pub wasted: f64,
+    /// What it did in that time.
+    pub did: Tally,
     /// Calls a second that it can do when it is warm and well.
     pub rate: f64,
     /// Calls a second that it could do then.
@@ -64,8 +53,6 @@
 /// Everything that a run has shown.
 #[derive(Clone, Debug, Default)]
 pub struct Record {
-    /// Time of the begin, in the run's own time.
-    pub begun: Time,
     /// Servers' places.
     pub places: usize,
     /// Every caller, in order of first tries.
@@ -190,8 +177,8 @@
             let n = ((stood.len() as f64 * part) as usize).min(stood.len().saturating_sub(1));
             stood.get(n).map_or(0.0, |us| *us as f64 / 1e3)
         };
-        let work: f64 = self.samples.iter().map(|s| s.work).sum();
-        let wasted: f64 = self.samples.iter().map(|s| s.wasted).sum();
+        let work: f64 = self.samples.iter().map(|s| s.did.work).sum();
+        let wasted: f64 = self.samples.iter().map(|s| s.did.wasted).sum();
         let second = self.people.iter().filter(|p| p.second_choice).count() as f64;
         Figures {
             callers: self.people.len() as u64,
@@ -216,7 +203,7 @@
         }
         let over = |samples: &[&Sample]| {
             let capacity: f64 = samples.iter().map(|s| s.capacity * 0.1).sum();
-            let setups: u64 = samples.iter().map(|s| s.setups).sum();
+            let setups: u64 = samples.iter().map(|s| s.did.setups).sum();
             if capacity > 0.0 { setups as f64 / capacity } else { 0.0 }
         };
         let highest = |window: usize| {
@@ -237,7 +224,7 @@
             .iter()
             .filter_map(|s| {
                 let counts: Vec<f64> =
-                    s.chunks_exact(10).map(|c| c.iter().map(|x| x.setups as f64).sum()).collect();
+                    s.chunks_exact(10).map(|c| c.iter().map(|x| x.did.setups as f64).sum()).collect();
                 let mean = counts.iter().sum::<f64>() / counts.len().max(1) as f64;
                 let variance =
                     counts.iter().map(|c| (c - mean).powi(2)).sum::<f64>() / counts.len().max(1) as f64;
@@ -258,7 +245,7 @@
         let short =
             |at: Time| seconds.get((at / 1_000_000) as usize).is_some_and(|s| s[1..].iter().sum::<u32>() > 0);
         let rates: f64 = by_server.iter().filter_map(|s| s.first()).map(|s| s.rate).sum();
-        let setups: u64 = self.samples.iter().map(|s| s.setups).sum();
+        let setups: u64 = self.samples.iter().map(|s| s.did.setups).sum();
         let length = by_server.iter().map(|s| s.len()).max().unwrap_or(0) as f64 * 0.1;
         let due = |s: &[&Sample]| {
             let rate = s.first().map_or(0.0, |s| s.rate);
@@ -267,7 +254,7 @@
         let longest = |s: &Vec<&Sample>| {
             let (mut run, mut most) = (0_u32, 0_u32);
             for sample in s {
-                run = if sample.room && sample.setups == 0 && short(sample.at) { run + 1 } else { 0 };
+                run = if sample.room && sample.did.setups == 0 && short(sample.at) { run + 1 } else { 0 };
                 most = most.max(run);
             }
             f64::from(most) * 0.1
@@ -310,13 +297,7 @@
                     at: i * 100_000,
                     server,
                     site: 0,
-                    setups: if server == 0 { 1 } else { 2 * (i % 2) },
-                    stood: 0,
-                    throttled: 0,
-                    congestion: 0,
-                    errors: 0,
-                    work: 0.0,
-                    wasted: 0.0,
+                    did: Tally { setups: if server == 0 { 1 } else { 2 * (i % 2) }, ..Tally::default() },
                     rate: 20.0,
                     capacity: 20.0,
                     calls: 0,
--- a/model/src/scenario.rs
+++ b/model/src/scenario.rs
@@ -524,6 +524,16 @@
     Drawn(f64),
 }
 
+impl Targets {
+    /// How many of `all` proxies they are.
+    pub fn count(&self, all: usize) -> usize {
+        match self {
+            Targets::Named(named) => named.len(),
+            Targets::Drawn(share) => ((share * all as f64).round() as usize).min(all),
+        }
+    }
+}
+
 impl Scenario {
     /// Sites of the servers by number.
     pub fn server_sites(&self) -> Vec<usize> {
--- a/model/src/server.rs
+++ b/model/src/server.rs
@@ -78,7 +78,7 @@
 }
 
 /// Sums since the last look.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Tally {
     /// Set-ups that arrived.
     pub setups: u64,
@@ -90,7 +90,7 @@
     pub congestion: u64,
     /// Set-ups that ended with an error.
     pub errors: u64,
-    /// Work done, in seconds of a warm processor.
+    /// Work taken up, in seconds of a warm processor.
     pub work: f64,
     /// Of it, work for what did not stand.
     pub wasted: f64,
--- a/model/src/world/faults.rs
+++ b/model/src/world/faults.rs
@@ -9,11 +9,10 @@
         }
         let chosen = match &self.plan[i].proxies {
             Targets::Named(named) => named.clone(),
-            Targets::Drawn(share) => {
+            drawn => {
                 let first = self.scenario.proxies.count as usize;
                 let mut all: Vec<usize> = (0..first).collect();
-                let wanted = (share * first as f64).round() as usize;
-                (0..wanted.min(first))
+                (0..drawn.count(first))
                     .map(|_| all.swap_remove((self.draw.unit() * all.len() as f64) as usize))
                     .collect()
             }
@@ -110,13 +109,9 @@
                 self.terminate(p);
             }
             Kind::Swap => {
-                let before = self.plan[..fault].iter().filter(|f| f.kind == Kind::Swap).map(|f| &f.proxies);
                 let first = self.scenario.proxies.count as usize;
-                let count = |t: &Targets| match t {
-                    Targets::Named(named) => named.len(),
-                    Targets::Drawn(share) => (share * first as f64).round() as usize,
-                };
-                let new = first + before.map(count).sum::<usize>() + nth;
+                let before = self.plan[..fault].iter().filter(|f| f.kind == Kind::Swap);
+                let new = first + before.map(|f| f.proxies.count(first)).sum::<usize>() + nth;
                 if let Some(newcomer) = self.proxies.get_mut(new) {
                     newcomer.replaces = Some(p);
                     self.start_proxy(new);
--- a/model/src/world/mod.rs
+++ b/model/src/world/mod.rs
@@ -279,7 +279,6 @@
 pub struct World {
     scenario: Scenario,
     plan: Vec<Planned>,
-    groups: Vec<usize>,
     now: Time,
     begun: Option<Time>,
     until: Time,
@@ -321,11 +320,7 @@
         let plan = scenario.plan()?;
         let mut draw = Draw::new(scenario.seed, 0x3017d);
         let first = scenario.proxies.count as usize;
-        let drawn = |share: f64| (share * first as f64).round() as usize;
-        let swaps = plan.iter().filter(|f| f.kind == Kind::Swap).map(|f| match &f.proxies {
-            Targets::Named(named) => named.len(),
-            Targets::Drawn(share) => drawn(*share),
-        });
+        let swaps = plan.iter().filter(|f| f.kind == Kind::Swap).map(|f| f.proxies.count(first));
         let count = first + swaps.sum::<usize>();
         let sites = scenario.server_sites();
         let groups: Vec<usize> = scenario
@@ -398,7 +393,6 @@
             fronts: Vec::new(),
             until: Time::MAX,
             plan,
-            groups,
             now: 0,
             begun: None,
             draw,
@@ -523,7 +517,6 @@
         for sample in &mut self.record.samples {
             sample.at = sample.at.saturating_sub(begun);
         }
-        self.record.begun = begun;
         (self.record, self.checker)
     }
 
@@ -634,18 +627,11 @@
         for s in 0..self.places.len() {
             let now = self.now;
             let place = &mut self.places[s];
-            let tally = std::mem::take(&mut place.server.tally);
             let sample = Sample {
                 at: now,
                 server: s,
                 site: place.site,
-                setups: tally.setups,
-                stood: tally.stood,
-                throttled: tally.throttled,
-                congestion: tally.congestion,
-                errors: tally.errors,
-                work: tally.work,
-                wasted: tally.wasted,
+                did: std::mem::take(&mut place.server.tally),
                 rate: self.scenario.servers[place.group].rate,
                 capacity: if place.silent { 0.0 } else { place.server.capacity(now) },
                 calls: place.server.calls() as u32,
--- a/model/src/world/paths.rs
+++ b/model/src/world/paths.rs
@@ -34,7 +34,7 @@
     /// A connection of a proxy to a place has come up; `None` where it is to be closed without a word.
     pub fn accept(&mut self, now: Time, p: usize, s: usize) -> Option<ServerConn> {
         self.run(now);
-        let full = self.places[s].open >= self.scenario.servers[self.groups[s]].connections;
+        let full = self.places[s].open >= self.scenario.servers[self.places[s].group].connections;
         self.record.connections += 1;
         if self.mode(p, s) != Mode::Open || full || !self.running(p) {
             self.record.connections_refused += 1;
--- a/rig/src/plot.rs
+++ b/rig/src/plot.rs
@@ -69,9 +69,9 @@
         seconds.into_iter().map(|(s, n)| (s as f64 + 0.5, n as f64)).collect()
     };
     [
-        ("throttled", line(|s| s.throttled)),
-        ("congestion", line(|s| s.congestion)),
-        ("error", line(|s| s.errors)),
+        ("throttled", line(|s| s.did.throttled)),
+        ("congestion", line(|s| s.did.congestion)),
+        ("error", line(|s| s.did.errors)),
     ]
 }
 
@@ -123,7 +123,7 @@
         let own: Vec<_> = series.samples.iter().filter(|s| s.server == server).collect();
         let load = own.chunks_exact(10).filter_map(|c| {
             let capacity: f64 = c.iter().map(|s| s.capacity * 0.1).sum();
-            let setups: u64 = c.iter().map(|s| s.setups).sum();
+            let setups: u64 = c.iter().map(|s| s.did.setups).sum();
             (capacity > 0.0).then(|| (c[9].at as f64 / 1e6, setups as f64 / capacity))
         });
         (format!("s{server}"), load.collect())
--- a/rig/src/series.rs
+++ b/rig/src/series.rs
@@ -7,6 +7,7 @@
 use fernspan_model::callers::{FATES, Fate};
 use fernspan_model::check::Broken;
 use fernspan_model::report::{Figures, Person, Record, Sample};
+use fernspan_model::server::Tally;
 use std::fs::File;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -110,13 +111,13 @@
             ("at_us", u64s(samples().map(|s| s.at))),
             ("server", u32s(samples().map(|s| s.server as u32))),
             ("site", u32s(samples().map(|s| s.site as u32))),
-            ("setups", u64s(samples().map(|s| s.setups))),
-            ("stood", u64s(samples().map(|s| s.stood))),
-            ("throttled", u64s(samples().map(|s| s.throttled))),
-            ("congestion", u64s(samples().map(|s| s.congestion))),
-            ("errors", u64s(samples().map(|s| s.errors))),
-            ("work_s", f64s(samples().map(|s| s.work))),
-            ("wasted_s", f64s(samples().map(|s| s.wasted))),
+            ("setups", u64s(samples().map(|s| s.did.setups))),
+            ("stood", u64s(samples().map(|s| s.did.stood))),
+            ("throttled", u64s(samples().map(|s| s.did.throttled))),
+            ("congestion", u64s(samples().map(|s| s.did.congestion))),
+            ("errors", u64s(samples().map(|s| s.did.errors))),
+            ("work_s", f64s(samples().map(|s| s.did.work))),
+            ("wasted_s", f64s(samples().map(|s| s.did.wasted))),
             ("rate", f64s(samples().map(|s| s.rate))),
             ("capacity", f64s(samples().map(|s| s.capacity))),
             ("calls", u32s(samples().map(|s| s.calls))),
@@ -203,13 +204,15 @@
         at: columns[0][i] as u64,
         server: columns[1][i] as usize,
         site: columns[2][i] as usize,
-        setups: columns[3][i] as u64,
-        stood: columns[4][i] as u64,
-        throttled: columns[5][i] as u64,
-        congestion: columns[6][i] as u64,
-        errors: columns[7][i] as u64,
-        work: columns[8][i],
-        wasted: columns[9][i],
+        did: Tally {
+            setups: columns[3][i] as u64,
+            stood: columns[4][i] as u64,
+            throttled: columns[5][i] as u64,
+            congestion: columns[6][i] as u64,
+            errors: columns[7][i] as u64,
+            work: columns[8][i],
+            wasted: columns[9][i],
+        },
         rate: columns[10][i],
         capacity: columns[11][i],
         calls: columns[12][i] as u32,
--- a/rig/src/wire.rs
+++ b/rig/src/wire.rs
@@ -4,7 +4,7 @@
 //! codec does not hide in its own mirror.
 
 use fernspan::isup;
-use fernspan::sip::{self, Start};
+use fernspan::sip;
 use fernspan_model::message::{FromServer, Setup, ToCaller, ToProxy, ToServer};
 use fernspan_model::scenario::Scenario;
 use fernspan_model::server::{No, State};
@@ -192,20 +192,20 @@
     Ok(Some((message, whole)))
 }
 
-/// Whether a message that a server wrote is read by the program as it was meant; for tests.
-pub fn method_of(m: &sip::Message) -> String {
-    match &m.start {
-        Start::Request { method } => method.clone(),
-        Start::Response { status } => status.to_string(),
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
     use fernspan::engine;
+    use fernspan::sip::Start;
     use std::rc::Rc;
 
+    fn method_of(m: &sip::Message) -> String {
+        match &m.start {
+            Start::Request { method } => method.clone(),
+            Start::Response { status } => status.to_string(),
+        }
+    }
+
     #[test]
     fn what_a_proxy_writes_is_read_as_it_was_meant_in_any_pieces() {
         let setup = engine::Setup {
--- a/rig/tests/faults.rs
+++ b/rig/tests/faults.rs
@@ -26,12 +26,12 @@
 /// Set-ups that arrived at a server between two seconds.
 fn arrived(record: &Record, server: usize, from: f64, until: f64) -> u64 {
     let within = |at: u64| (from..until).contains(&(at as f64 / 1e6));
-    record.samples.iter().filter(|s| s.server == server && within(s.at)).map(|s| s.setups).sum()
+    record.samples.iter().filter(|s| s.server == server && within(s.at)).map(|s| s.did.setups).sum()
 }
 
 fn stood(record: &Record, server: usize, from: f64, until: f64) -> u64 {
     let within = |at: u64| (from..until).contains(&(at as f64 / 1e6));
-    record.samples.iter().filter(|s| s.server == server && within(s.at)).map(|s| s.stood).sum()
+    record.samples.iter().filter(|s| s.server == server && within(s.at)).map(|s| s.did.stood).sum()
 }
 
 fn fate(record: &Record, fate: Fate) -> usize {
