--- a/model/src/lib.rs
+++ b/model/src/lib.rs
@@ -10,10 +10,12 @@
 pub mod callers;
 pub mod check;
 pub mod draw;
+pub mod forecast;
 pub mod message;
 pub mod report;
 pub mod scenario;
 pub mod server;
+pub mod sites;
 pub mod world;
 
 /// A moment or a span of a run, in microseconds.
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -2,13 +2,16 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
+use fernspan_model::forecast::{self, Forecast};
 use fernspan_model::report::Record;
 use fernspan_model::scenario::{self, Scenario};
+use fernspan_model::sites;
 use fernspan_rig::emulate::Emulator;
 use fernspan_rig::plot;
 use fernspan_rig::real::{self, Options, Rig};
 use fernspan_rig::series::{self, Report};
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -49,6 +52,23 @@
         #[arg(long, value_name = "DIR")]
         logs: Option<PathBuf>,
     },
+    /// Says before the day what losing each site would do
+    Forecast {
+        /// The scenario, a JSON file: its servers, proxies and callers; its faults do not count
+        file: PathBuf,
+        /// Sites that are lost together, instead of each by itself and the largest two
+        #[arg(long, value_name = "NAME", num_args = 1..)]
+        sites: Vec<String>,
+        /// How long they are lost, in seconds; as long as the scenario's first fault of servers if not given, or 10
+        #[arg(long = "for", value_name = "S")]
+        length: Option<f64>,
+        /// Calls a second, instead of the scenario's
+        #[arg(long, value_name = "N")]
+        rate: Option<f64>,
+        /// Prints JSON
+        #[arg(long)]
+        json: bool,
+    },
     /// Reads a scenario and says whether it is good
     Check {
         /// The scenario, a JSON file
@@ -87,6 +107,9 @@
         Command::Run { file, emulate, processes, seed, report, program, logs } => {
             run(&file, emulate, processes, seed, report.as_deref(), program, logs)
         }
+        Command::Forecast { file, sites, length, rate, json } => {
+            foretell(&file, &sites, length, rate, json).map(|()| ExitCode::SUCCESS)
+        }
         Command::Check { file } => read(&file).map(|s| {
             println!(
                 "{}: {} proxies, {} servers, {} faults: good",
@@ -153,7 +176,9 @@
     let proxies = world.proxies();
     let (record, checker) = world.finish(at);
     let figures = record.figures(proxies, played.channels.len());
+    let losses = sites::losses(&played, &record).map_err(|e| format!("{}: {e}", file.display()))?;
     let said = Report {
+        losses,
         scenario: played.name.clone(),
         played: if emulate { "emulated" } else { "real" },
         seed: played.seed,
@@ -182,6 +207,85 @@
     }
 }
 
+/// Names the sites whose loss is reckoned, and for how long; gives the forecasts.
+fn forecasts(
+    scenario: &Scenario,
+    sites: &[String],
+    length: Option<f64>,
+) -> Result<(f64, Vec<Forecast>), String> {
+    let length = length.or_else(|| forecast::length(scenario)).unwrap_or(10.0);
+    if !(0.1..=3_600.0).contains(&length) {
+        return Err(format!("--for: has to be from 0.1 to 3600 seconds, not {length}"));
+    }
+    if sites.is_empty() {
+        return Ok((length, forecast::each(scenario, length)));
+    }
+    let number = |name: &String| {
+        let at = scenario.sites.iter().position(|s| s == name);
+        at.ok_or_else(|| format!("--sites: there is no site {name}"))
+    };
+    let lost = sites.iter().map(number).collect::<Result<BTreeSet<usize>, _>>()?;
+    if lost.len() == scenario.sites.len() {
+        return Err("--sites: one has to remain".to_owned());
+    }
+    let lost: Vec<usize> = lost.into_iter().collect();
+    Ok((length, vec![forecast::losing(scenario, &lost, length)]))
+}
+
+fn foretell(
+    file: &Path,
+    sites: &[String],
+    length: Option<f64>,
+    rate: Option<f64>,
+    json: bool,
+) -> Result<(), String> {
+    let mut scenario = read(file)?;
+    if let Some(rate) = rate {
+        if !(rate > 0.0 && rate.is_finite()) {
+            return Err(format!("--rate: has to be above 0, not {rate}"));
+        }
+        scenario.callers.rate = rate;
+    }
+    let (length, all) = forecasts(&scenario, sites, length)?;
+    if json {
+        println!("{}", serde_json::to_string_pretty(&all).map_err(|e| e.to_string())?);
+        return Ok(());
+    }
+    println!(
+        "{}: {} proxies, {} servers, {:.1} calls a second of {:.1} that they can do; each loss lasts {length} s",
+        scenario.name,
+        scenario.proxies.count,
+        scenario.server_groups().len(),
+        scenario.callers.rate,
+        scenario.server_groups().iter().map(|g| g.rate).sum::<f64>()
+    );
+    for f in &all {
+        println!();
+        println!("without {}:", f.sites.join(" and "));
+        println!(
+            "  {:.0} standing calls are cut; {:.0} on their way are called off and sent again",
+            f.cut, f.called_off
+        );
+        println!("  load of the remaining servers {:.2}, from {:.2}", f.load[1], f.load[0]);
+        let moves: Vec<String> = f.moves.iter().map(|(site, n)| format!("{site} {n:+.1}")).collect();
+        println!("  calls a second that move: {}", moves.join(", "));
+        println!(
+            "  from 2 s after: in time {:.3}, late {:.3}, refused {:.3}; connects to lost servers {:.1} a second",
+            f.in_time, f.late, f.refused, f.connects
+        );
+        if f.refused >= 0.001 {
+            let of: Vec<String> = f.refused_of.iter().map(|(name, n)| format!("{name} {n:.3}")).collect();
+            println!("  refused by channel: {}", of.join(", "));
+        }
+        let recovered = f.recovered_s.map_or("not within a minute".to_owned(), |s| format!("after {s:.0} s"));
+        println!(
+            "  after the return: service {:.3} in ten seconds, all in time again {recovered}, in full use after {:.1} s",
+            f.after, f.full_s
+        );
+    }
+    Ok(())
+}
+
 fn options(program: Option<PathBuf>, logs: Option<PathBuf>) -> Result<Options, String> {
     let holder = std::env::current_exe().map_err(|e| format!("this program's own name: {e}"))?;
     let program = program.unwrap_or_else(|| holder.with_file_name("fernspan"));
@@ -227,6 +331,27 @@
         f.connections,
         f.falls
     );
+    let after = |s: Option<f64>| s.map_or_else(|| "never".to_owned(), |s| format!("after {s:.1} s"));
+    for l in &r.losses {
+        println!(
+            "{} lost from {} to {} s: {:.1} calls a second offered, {:.1} could be done; in time {:.3}, {:.3} of \
+             what that allows; refused {:.3}, cut {:.3}; moved {}; used again {}, in full {}; service of the ten \
+             seconds then {:.3}",
+            l.sites.join(" and "),
+            l.from_s,
+            l.until_s,
+            l.offered,
+            l.remaining,
+            l.in_time,
+            l.kept,
+            l.refused,
+            l.cut,
+            after(l.moved_s),
+            after(l.used_s),
+            after(l.full_s),
+            l.after
+        );
+    }
     if let Some(m) = &r.machine {
         println!(
             "late by {:.1} ms, 99 in 100 by {:.1}, most {:.1}; processor time {:.1} s of proxies, {:.1} s of the rig; \
--- a/rig/src/series.rs
+++ b/rig/src/series.rs
@@ -8,6 +8,7 @@
 use fernspan_model::check::Broken;
 use fernspan_model::report::{Figures, Person, Record, Sample};
 use fernspan_model::server::Tally;
+use fernspan_model::sites::Loss;
 use std::fs::File;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -31,6 +32,8 @@
     pub took_s: f64,
     /// The figures.
     pub figures: Figures,
+    /// What each loss of whole sites cost.
+    pub losses: Vec<Loss>,
     /// How often each rule was broken.
     pub broken: std::collections::BTreeMap<String, u64>,
     /// The first breaks in words.
