Take a server for just started beside others at a tenth of their lines in use, not a quarter

Need: servers that have run for long differ by more in their share of lines in use than one does over time, so a quarter of the others' share marks some that are merely little used, for 15 s, at every proxy that starts. A tenth is what a cold server takes in two seconds (0.31 of its capacity, calls of 9 s).

--- a/src/sites.rs
+++ b/src/sites.rs
@@ -69,6 +69,9 @@
 pub const KEPT: f64 = 0.25;
 /// Lines in use from which on their number tells something (ours): below, it is chance.
 pub const TELLING: f64 = 8.0;
+/// The same beside the others' share of lines in use, for a node that has just started (ours): what a cold server takes
+/// in two seconds. Servers that have run for long differ by more than that of one server over time.
+pub const NEW: f64 = 0.1;
 /// Servers that have to have told their lines for one to be compared with them (ours).
 pub const COMPARED: usize = 3;
 /// How long a node stands still before what it did not hear says nothing, us (ours).
@@ -469,7 +472,7 @@
         let middle = shares[shares.len() / 2];
         for (id, s) in self.servers.iter_mut().filter(|(_, s)| s.new && s.lines > 0.0) {
             s.new = false;
-            if middle * s.lines >= TELLING && s.busy < KEPT * middle * s.lines {
+            if middle * s.lines >= TELLING && s.busy < NEW * middle * s.lines {
                 self.changes.push(Change::Cold(*id));
             }
         }
