--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod emulate;
 pub mod host;
+pub mod measure;
 pub mod members;
 pub mod message;
 pub mod node;
--- a/fleet/src/main.rs
+++ b/fleet/src/main.rs
@@ -4,6 +4,7 @@
 use async_io::{Async, Timer};
 use clap::{Parser, Subcommand};
 use fernspan_fleet::host::{Clock, Member, run};
+use fernspan_fleet::measure::measure;
 use fernspan_fleet::node::Node;
 use fernspan_fleet::settings::{self, Settings};
 use futures_lite::future;
@@ -29,6 +30,15 @@
     },
     /// Prints the JSON schema of the file
     Schema,
+    /// Measures emulated fleets: what is in use, how soon it is divided anew, and what that costs
+    Emulate {
+        /// Sizes, in members
+        #[arg(long, value_delimiter = ',', default_values_t = [10, 100, 300])]
+        members: Vec<u16>,
+        /// Seed of all that is drawn
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Runs one member, and says every second what it may use
     Member {
         /// The fleet's file
@@ -57,6 +67,7 @@
             println!("{:#}", settings::schema());
             Ok(())
         }
+        Command::Emulate { members, seed } => emulate(&members, seed),
         Command::Member { file, seat, listen, want, spend } => member(&file, seat, listen, want, spend),
     };
     match done {
@@ -73,6 +84,34 @@
     settings::read(&text).map_err(|e| format!("{}: {e}", file.display()))
 }
 
+fn emulate(members: &[u16], seed: u64) -> Result<(), String> {
+    for n in members {
+        if !(5..=20_000).contains(n) {
+            return Err(format!("--members: has to be from 5 to 20000, not {n}"));
+        }
+        let begin = Instant::now();
+        let f = measure(*n, seed);
+        let said = |s: Option<f64>| s.map_or("never".to_owned(), |s| format!("{s:.2}"));
+        let anew: Vec<String> = f
+            .anew
+            .iter()
+            .map(|(p, gone, back)| format!("{p}%: {} and {} s", said(*gone), said(*back)))
+            .collect();
+        println!(
+            "{n} members: in use {:.3} (fixed parts {:.3}), most {:.3}; anew after they go and come, {}; \
+             {:.1} datagrams and {:.0} bytes a member and second; took {:.1} s",
+            f.in_use,
+            f.fixed,
+            f.most,
+            anew.join(", "),
+            f.datagrams,
+            f.bytes,
+            begin.elapsed().as_secs_f64()
+        );
+    }
+    Ok(())
+}
+
 fn member(
     file: &Path,
     seat: u16,
