Believe a silent server's word only where tests of it are seldom

Cause: Server::spoke in src/choice.rs took a server that is held for silent back as soon as its free lines changed. That is meant for a fleet of hundreds, where a proxy tests such a server once in minutes. On soak three proxies test it several times a second, and a slow server that was left alone before was sent calls again and again.

Ruled out: regained windows, as a proxy with several calls a second has news in every interval; sites, as each zone has one server there and nothing is ever taken for lost.

Change: it counts only where less than one test in ten seconds would be made. Also: servers are compared with the others only while there is a new one.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,6 +49,8 @@
 const FLOOR_MOST: f64 = 0.5;
 /// What a window without news regains of its usual in an OPPUI, ratio (ours): troubles last some 10 s.
 const FADE: f64 = 0.1;
+/// Tests of a silent server in a period below which they are too few to rely on (ours): one in ten seconds.
+const SELDOM: f64 = 0.1;
 /// One turn, us (ours).
 const TURN: Time = 25_000;
 /// A held call that expires within this is given up, and one that was not sent waits half of it, us (ours).
@@ -370,7 +372,6 @@
                 || self.servers.iter().filter_map(|(id, s)| Some((*id, s.usual.filter(|_| s.ready)?)));
             let left = usual().filter(|(id, _)| !self.sites.lost(*id)).map(|(_, n)| n).sum();
             if self.room.lose(usual().map(|(_, n)| n).sum(), left) {
-                // Nor what was saved up, all at once.
                 let saved = self.servers.values_mut().filter(|s| s.window.credit >= 1.0);
                 saved.for_each(|s| s.window.credit = s.window.phase);
             }
@@ -858,8 +859,7 @@
     }
 
     /// Draws what an attempt's end says of the server. Errors in a row mark it as ill: it answers them fast
-    /// and looks idle, so that it would draw calls which sound servers have room for. Could wrong a server
-    /// that gets bad requests only; the fronts keep those away.
+    /// and looks idle, so that it would draw calls which sound servers have room for.
     fn judge(
         &mut self,
         now: Time,
@@ -900,12 +900,12 @@
         self.window.credit = self.window.credit.min(self.window.phase);
     }
 
-    /// Guards a server that was slow for a moment against being left alone for minutes by nodes with few
-    /// calls: its free lines change, so it works. One that answers no set-up all the same is believed once.
+    /// Guards a server that was slow for a moment against being left alone for minutes, as tests are seldom:
+    /// its free lines change, so it works. One that answers no set-up all the same is believed once.
     fn spoke(&mut self, now: Time) {
-        if self.down.as_ref().is_some_and(|d| !d.unreached) && self.answered_sent >= self.believed {
+        let seldom = LEAST_SHARE * self.usual.unwrap_or(0.0) < SELDOM;
+        if seldom && self.answered_sent >= self.believed && self.down.take_if(|d| !d.unreached).is_some() {
             self.believed = now;
-            self.down = None;
         }
     }
 
--- a/src/sites.rs
+++ b/src/sites.rs
@@ -462,6 +462,9 @@
     /// that one has hardly a line in use where the others have. Guards servers that return against nodes that return
     /// with them.
     fn compare(&mut self) {
+        if !self.servers.values().any(|s| s.new && s.lines > 0.0) {
+            return;
+        }
         let told = |s: &&Server| s.ready && !s.lost && s.lines > 0.0;
         let mut shares: Vec<f64> = self.servers.values().filter(told).map(|s| s.busy / s.lines).collect();
         let ready = self.servers.values().filter(|s| s.ready).count();
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -628,3 +628,69 @@
     s.ended(0, 0, 0, Outcome::Done);
     assert_eq!(starts(&s.event(Event::Call(call(5, 0)))), [(5, 0)]);
 }
+
+/// Of twenty calls with server 0 as first choice, those that go there after it fell silent and then told of its
+/// free lines. They come twice as far apart as those before, so that its window may hold them.
+fn sent_after_its_word(calls_apart: Time) -> usize {
+    let mut s = Script::new(Settings { nodes: 300, ..settings() }, 2);
+    let answer = |s: &mut Script, acts: &[Action]| {
+        for (c, server) in starts(acts) {
+            s.stood(c, server, 30 * MS);
+        }
+    };
+    for id in 0..100 {
+        let mut acts = s.event(Event::Call(call(id, (id % 2) as Place)));
+        acts.extend(s.pass(calls_apart));
+        answer(&mut s, &acts);
+    }
+    assert_eq!(starts(&s.event(Event::Call(call(200, 0)))), [(200, 0)]);
+    s.pass(1_200 * MS);
+    s.event(Event::Left(200));
+    let lines = Report { free: Some(70.0), lines: Some(100.0), ..Report::default() };
+    s.event(Event::Room(0, lines));
+    let mut there = 0;
+    for id in 300..320 {
+        s.pass(2 * calls_apart);
+        let acts = s.event(Event::Call(call(id, 0)));
+        there += starts(&acts).iter().filter(|(_, server)| *server == 0).count();
+        answer(&mut s, &acts);
+    }
+    there
+}
+
+/// Guards a server that was slow for a moment against being left alone by nodes that would test it once in minutes;
+/// and busy nodes, whose tests tell them more, against one that stays slow.
+#[test]
+fn a_silent_server_that_speaks_is_believed_where_tests_are_seldom() {
+    let (seldom, busy) = (sent_after_its_word(4 * S), sent_after_its_word(50 * MS));
+    assert!(seldom >= 18, "{seldom} of twenty");
+    // A test that is answered ends its silence, as ever.
+    assert!(busy <= 13, "{busy} of twenty, for a busy node");
+}
+
+/// Guards against windows that stay shut: few starts bring no news, and no news no starts.
+#[test]
+fn a_window_without_news_regains_its_usual() {
+    let started = |after: Time| {
+        let mut s = Script::new(Settings { nodes: 100, ..settings() }, 1);
+        // Two calls a second for a while, then two answers that took three seconds: the window closes.
+        for id in 0..40 {
+            let delay = if id < 36 { 30 * MS } else { 3 * S };
+            let mut acts = s.event(Event::Call(call(id, 0)));
+            acts.extend(s.pass(500 * MS));
+            for (c, _) in starts(&acts) {
+                s.stood(c, 0, delay);
+            }
+        }
+        s.pass(after);
+        let mut count = 0;
+        for id in 100..140 {
+            let mut acts = s.event(Event::Call(call(id, 0)));
+            acts.extend(s.pass(100 * MS));
+            count += starts(&acts).len();
+        }
+        count
+    };
+    let (soon, later) = (started(0), started(15 * S));
+    assert!(later >= soon + 2, "{soon} in four seconds, {later} after fifteen without news");
+}
