--- a/proxy/tests/link.rs
+++ b/proxy/tests/link.rs
@@ -130,9 +130,8 @@
     assert!(host.connects.len() < 12, "{:?}", host.connects);
 }
 
-/// A machine that returned with hardly a line in use has lost what stood there: its callers hear it now.
-#[test]
-fn a_server_that_returns_empty_has_lost_its_calls() {
+/// What the core is told as a server that was silent for four seconds comes back with so many lines free.
+fn returns(free: u32, lines: u32) -> Vec<Input> {
     let mut host = Host::new();
     host.link.order(host.now, Order::Rest(true));
     assert_eq!(died(&host.silent(4 * S)), None);
@@ -141,22 +140,20 @@
     }
     host.pass(S / 100);
     host.told(Told::Up);
-    let inputs = host.state(99, 100);
+    host.state(free, lines)
+}
+
+/// A machine that returned with hardly a line in use has lost what stood there: its callers hear it now.
+#[test]
+fn a_server_that_returns_empty_has_lost_its_calls() {
+    let inputs = returns(99, 100);
     assert!(inputs.iter().any(|i| matches!(i, Input::Died(3))), "{inputs:?}");
 }
 
 /// One that returns with the lines in use that there were was cut off, and its calls stand.
 #[test]
 fn a_server_that_was_cut_off_keeps_its_calls() {
-    let mut host = Host::new();
-    host.link.order(host.now, Order::Rest(true));
-    assert_eq!(died(&host.silent(4 * S)), None);
-    while host.link.due().is_some_and(|at| at > host.now) {
-        host.pass(S / 100);
-    }
-    host.pass(S / 100);
-    host.told(Told::Up);
-    let inputs = host.state(75, 100);
+    let inputs = returns(75, 100);
     assert!(!inputs.iter().any(|i| matches!(i, Input::Died(3))), "{inputs:?}");
 }
 
