--- a/fleet/src/measure.rs
+++ b/fleet/src/measure.rs
@@ -35,7 +35,7 @@
 fn wants(seat: Seat, members: u16, whole: Amount) -> Amount {
     // A fifth of n at 16 x and four fifths at 1 x sum to 4 n x: twice the whole.
     let x = whole / (2 * Amount::from(members));
-    if seat % 5 == 0 { 16 * x } else { x }
+    if seat.is_multiple_of(5) { 16 * x } else { x }
 }
 
 /// Measures a fleet of so many members.
@@ -75,7 +75,7 @@
         let back = until(&mut fleet, |f| {
             let met = go
                 .iter()
-                .filter(|s| **s % 5 != 0)
+                .filter(|s| !s.is_multiple_of(5))
                 .all(|s| f.share(*s, 0) >= wants(*s, members, whole) * 9 / 10);
             met && used(f) as f64 >= ANEW * whole as f64
         });
