Drop a delay that nothing reads, and keep one figure each of a stall, a start and a voter's rank

Found on reading the whole change again; behaviour stays as it is.

- src/choice.rs: a server's own smoothed delay was still kept after the mean of all had taken its place.
- proxy/src/sip/state.rs: the state was parsed out of each answer and then dropped unless it was a NOTIFY; requests alone are looked at now.
A wait copied all limits; it shares them.
- fleet/src/shares.rs: a voter's rank was reckoned in two places. model/src/forecast.rs: one condition nested in itself.

--- a/fleet/src/shares.rs
+++ b/fleet/src/shares.rs
@@ -83,6 +83,11 @@
         (u128::from(span.saturating_sub(1)) * u128::from(slow) / u128::from(fast)) as Time
     }
 
+    /// A voter's place among the voters.
+    fn rank(&self, seat: Seat) -> u64 {
+        self.voters.iter().position(|v| *v == seat).unwrap_or(0) as u64
+    }
+
     fn majority(&self) -> usize {
         self.voters.len() / 2 + 1
     }
@@ -257,11 +262,10 @@
 impl Shares {
     /// A member that has just started, at `now` of its clock.
     pub fn new(rules: Rules, me: Who, now: Time) -> Shares {
-        let rank = rules.voters.iter().position(|v| *v == me.seat).unwrap_or(0) as u64;
         let at_once = rules.mistake == Some(Mistake::VotesAtOnce);
         let abstains = if at_once { now } else { now + rules.counted(rules.term) };
         Shares {
-            stand_at: abstains + rank * rules.term / 4,
+            stand_at: abstains + rules.rank(me.seat) * rules.term / 4,
             abstains,
             wants: vec![0; rules.budgets.len()],
             next_voter: me.seat as usize % rules.voters.len().max(1),
@@ -386,17 +390,13 @@
 
     /// When it may stand as far as its own vote goes.
     fn free_at(&self) -> Time {
-        let turn = self.rank() * self.rules.term / 8;
+        let turn = self.rules.rank(self.me.seat) * self.rules.term / 8;
         self.promise.as_ref().filter(|p| p.to != self.me).map_or(0, |p| p.until + turn)
     }
 
-    fn rank(&self) -> u64 {
-        self.rules.voters.iter().position(|v| *v == self.me.seat).unwrap_or(0) as u64
-    }
-
     /// Candidates that failed stand again at different times.
     fn stagger(&self) -> Time {
-        (self.rank() * 2 + self.rounds % 3) * self.rules.term / 8
+        (self.rules.rank(self.me.seat) * 2 + self.rounds % 3) * self.rules.term / 8
     }
 
     fn free(&mut self, round: u64, out: &mut Vec<Send>) {
--- a/model/src/forecast.rs
+++ b/model/src/forecast.rs
@@ -189,7 +189,11 @@
                 if share >= 1.0 { 1.0 } else { share * COLD_PART }
             }
         };
-        let back = if lost || now < START { if lost { 0.0 } else { 1.0 } } else { warmth };
+        let back = match lost {
+            true => 0.0,
+            false if now < START => 1.0,
+            false => warmth,
+        };
         // Within a tenth of a second what is not used lapses.
         let room = ((capacity - gone) + gone * back) * USABLE;
         limit = (limit + room * STEP).min(room * 0.1);
--- a/proxy/src/sip/state.rs
+++ b/proxy/src/sip/state.rs
@@ -233,9 +233,8 @@
     /// A server that speaks again on a new connection, with hardly a line in use, has lost the calls that stood
     /// there. Guards their callers against waiting for the list to say so.
     fn started_anew(&mut self, message: &Message, conn: u64) -> Option<Input> {
-        let report = message
-            .report()
-            .filter(|_| matches!(&message.start, Start::Request { method } if method == "NOTIFY"))?;
+        let Start::Request { method } = &message.start else { return None };
+        let report = message.report().filter(|_| method == "NOTIFY")?;
         let busy = report.lines? - report.free?;
         let before = std::mem::replace(&mut self.busy, busy);
         let opened = self.conns.get(&conn)?.opened;
@@ -250,7 +249,8 @@
     /// A wait before the server is connected to again. Guards a site that is lost, and the path to it, against
     /// hundreds of proxies that each connect to all of its servers once a second.
     fn again(&mut self) -> Time {
-        let limits = self.shared.limits.clone();
+        let shared = self.shared.clone();
+        let limits = &shared.limits;
         match (self.resting, self.unreached.filter(|_| !self.standing.is_empty())) {
             (false, _) => self.now + self.drawn(limits.reconnect),
             // What stands there is gone if the next connect fails as well, and that has to be late enough.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,7 +7,7 @@
 use crate::interface::*;
 use crate::mean::Mean;
 use crate::refusal::{self, Claim, Refusal};
-use crate::sites::{self, Change, Room, Sites};
+use crate::sites::{self, COLD_AFTER, Change, Room, STALL, Sites};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet};
@@ -65,10 +65,6 @@
 const FULL_SKIP_MOST: Time = 2_000_000;
 /// A server with calls out that has said nothing for this long is taken for silent, us (ours).
 const SILENT: Time = 1_000_000;
-/// A turn that comes later than this is the node's own stall, us (ours).
-const OWN_STALL: Time = 100_000;
-/// A server that was down for longer comes back cold, us (ours): a mere pause is shorter.
-const COLD_AFTER: Time = 3_000_000;
 /// Weight of the newest figure in a smoothed one, ratio (ours).
 const SMOOTH: f64 = 0.2;
 /// The same for the usual starts when they rise, ratio (ours): an open window must not hold calls for long.
@@ -189,7 +185,6 @@
     /// Share of errors among its latest answers.
     ill: f64,
     floor: f64,
-    delay: f64,
     /// Starts per call control period that this place took in good times.
     usual: Option<f64>,
 }
@@ -318,7 +313,7 @@
     /// Guards against blaming servers for the node's own stall, whatever stopped it: the ages of what was
     /// out then, and the interval it fell in, say nothing. Could hide a slow server behind a stall.
     fn notice_own_stall(&mut self) {
-        if self.turn_at == 0 || self.now <= self.turn_at + OWN_STALL {
+        if self.turn_at == 0 || self.now <= self.turn_at + STALL {
             return;
         }
         self.turn_at = self.now;
@@ -841,7 +836,6 @@
         self.answered_sent = self.answered_sent.max(sent);
         if sent >= self.judged_from {
             self.floor = self.floor.min(elapsed);
-            self.delay += SMOOTH * (elapsed - self.delay);
             self.window.delays.add(elapsed - self.floor.min(target * FLOOR_MOST));
         }
         if let Some(down) = self.down.take()
--- a/src/sites.rs
+++ b/src/sites.rs
@@ -74,7 +74,7 @@
 pub const NEW: f64 = 0.1;
 /// Servers that have to have told their lines for one to be compared with them (ours).
 pub const COMPARED: usize = 3;
-/// How long a node stands still before what it did not hear says nothing, us (ours).
+/// A turn that comes later than this is the node's own stall, us (ours): what it did not hear meanwhile says nothing.
 pub const STALL: Time = 100_000;
 
 /// Part of the stated fall multiple that may be used while a server is cold, ratio (ours): burst and error of the usual.
