Release calls at a server that refuses and has said nothing for six seconds

Each time the same: the call stood at a server that was then told as draining, the server's connections had their last word at that moment, and new ones were refused, every two seconds:

Lines at fault: sip/state.rs, Told::Failed. A refusal beside an open connection counted as a sign of life, without end, as a process that dies resets its connections. Here one of them was never reset (its other end was gone), so the link looked and believed for ever; only the list, late as its channel was silent, ended the calls. Ruled out: the release being given to a bad caller's connection (callers acknowledged every one, 5054 for 4746), a lost reconnect, a release queued and not sent.

Now a refusal met on a look for a silent server that has calls standing, with no word for `gone` (6 s), counts as the end. A call has to be released 8 s after its end where its server cannot say so, and it may have ended at the last word. A further connection that is refused, or a word in between, cuts nothing. Known price: calls that stand at a draining server which truly has nothing to say for six seconds are released early.

The new test of the link was seen failing without the change ("it is gone"); two more hold what must not be cut.

--- a/proxy/src/sip/state.rs
+++ b/proxy/src/sip/state.rs
@@ -93,6 +93,8 @@
     draining: bool,
     /// Out of reach with its site: connects are few.
     resting: bool,
+    /// The connection under way is to show whether a silent server lives.
+    looking: bool,
 }
 
 impl Link {
@@ -118,6 +120,7 @@
             busy: 0.0,
             draining: false,
             resting: false,
+            looking: false,
         }
     }
 
@@ -161,6 +164,7 @@
     pub fn look(&mut self, now: Time) -> Vec<Input> {
         self.now = now;
         self.connect_at = None;
+        self.looking = !self.standing.is_empty() && now >= self.heard + self.shared.limits.silent;
         let busy: BTreeSet<u64> = self.setups.values().map(|o| o.conn).collect();
         if self.conns.len() >= self.shared.limits.server_conns {
             match self.conns.keys().copied().find(|id| !busy.contains(id)) {
@@ -376,6 +380,7 @@
             Told::Up => {
                 let Some(c) = self.conns.get_mut(&conn) else { return Vec::new() };
                 c.up = true;
+                self.looking = false;
                 c.opened = self.now;
                 c.heard = c.opened;
                 self.lives();
@@ -391,13 +396,18 @@
             }
             Told::Failed { refused } => {
                 let mut inputs = self.lose(conn);
+                let looked = std::mem::take(&mut self.looking);
                 if !self.conns.values().any(|c| !c.up) {
                     inputs.extend(self.fail_queue(Outcome::NoRoute));
                 }
                 let now = self.now;
                 // Guards the calls that stand at a server that drains or has no connection left: one that
                 // refuses while those it has stay open lives, as a process that dies resets them.
-                if refused && self.conns.values().any(|c| c.up) {
+                let open = self.conns.values().any(|c| c.up);
+                // Unless these have gone dead: with calls standing there, a server has a word now and then. Guards
+                // their callers against a machine that is gone, but whose end no reset has told.
+                let dead = !open || looked && now >= self.word + self.shared.limits.gone;
+                if refused && !dead {
                     self.lives();
                     self.spare();
                     return inputs;
@@ -406,7 +416,7 @@
                 self.connect_at = Some(self.again());
                 // Nobody listens any more, or nothing comes through: the process is gone, and what stood
                 // there with it.
-                let dead = refused && self.conns.is_empty();
+                let dead = refused && (self.conns.is_empty() || open);
                 if dead || now >= self.gone_from(since) {
                     let open: Vec<u64> = self.conns.keys().copied().collect();
                     inputs.extend(open.into_iter().flat_map(|c| self.lose(c)).collect::<Vec<_>>());
--- a/proxy/tests/link.rs
+++ b/proxy/tests/link.rs
@@ -4,13 +4,17 @@
 use fernspan::engine::{Input, Order, Setup};
 use fernspan::limits::Limits;
 use fernspan::net::Decode;
-use fernspan::sip::Decoder;
 use fernspan::sip::state::{Do, Link, Shared, Told};
+use fernspan::sip::{Decoder, Message};
 use std::rc::Rc;
 use std::time::Duration;
 
 const S: u64 = 1_000_000;
 
+fn setup(id: u64) -> Setup {
+    Setup { id, attempt: 0, class: 0, number: "n".to_owned(), patience: 3 * S, payload: b"v=0"[..].into() }
+}
+
 struct Host {
     link: Link,
     now: u64,
@@ -28,15 +32,7 @@
         host.pass(S / 10);
         host.told(Told::Up);
         assert!(matches!(host.state(60, 100)[..], [Input::Spoke { fresh: true, .. }, Input::Room(..)]));
-        let setup = Setup {
-            id: 7,
-            attempt: 0,
-            class: 0,
-            number: "n".to_owned(),
-            patience: 3 * S,
-            payload: b"v=0"[..].into(),
-        };
-        host.link.order(host.now, Order::Start(setup));
+        host.link.order(host.now, Order::Start(setup(7)));
         host.done();
         let answer =
             "SIP/2.0 200 OK\r\nCall-ID: 0000000000000007\r\nCSeq: 1 INVITE\r\nContent-Length: 3\r\n\r\nv=0";
@@ -60,25 +56,27 @@
     }
 
     fn hears(&mut self, text: &str) -> Vec<Input> {
-        let message = Decoder { most: 16_384 }.decode(text.as_bytes()).ok().flatten().expect("a message").0;
-        self.told(Told::Message(message))
+        self.told(Told::Message(decoded(text)))
     }
 
     fn state(&mut self, free: u32, lines: u32) -> Vec<Input> {
-        self.hears(&format!(
-            "NOTIFY sip:peer@net SIP/2.0\r\nX-State: x0:{free};x1:{lines}\r\nContent-Length: 0\r\n\r\n"
-        ))
+        self.hears(&notify(free, lines))
     }
 
     /// Lets time pass; each connect fails after half a second. Gives what the core is told, and when.
     fn silent(&mut self, span: u64) -> Vec<(u64, Input)> {
+        self.fails(span, S / 2, false)
+    }
+
+    /// The same; each connect fails after `after`, refused or not.
+    fn fails(&mut self, span: u64, after: u64, refused: bool) -> Vec<(u64, Input)> {
         let (until, mut said) = (self.now + span, Vec::new());
         while self.now < until {
             let open = self.connects.len();
             self.pass(S / 100);
             if self.connects.len() > open {
-                self.now += S / 2;
-                said.extend(self.told(Told::Failed { refused: false }).into_iter().map(|i| (self.now, i)));
+                self.now += after;
+                said.extend(self.told(Told::Failed { refused }).into_iter().map(|i| (self.now, i)));
             }
         }
         said
@@ -93,6 +91,14 @@
     }
 }
 
+fn decoded(text: &str) -> Message {
+    Decoder { most: 16_384 }.decode(text.as_bytes()).ok().flatten().expect("a message").0
+}
+
+fn notify(free: u32, lines: u32) -> String {
+    format!("NOTIFY sip:peer@net SIP/2.0\r\nX-State: x0:{free};x1:{lines}\r\nContent-Length: 0\r\n\r\n")
+}
+
 fn died(said: &[(u64, Input)]) -> Option<u64> {
     said.iter().find(|(_, i)| matches!(i, Input::Died(3))).map(|(at, _)| *at)
 }
@@ -188,3 +194,43 @@
     }
     assert_eq!(speaks.connects.len(), before);
 }
+
+/// A server that drains refuses connections and may have nothing to say; with its calls standing it has a word now and
+/// then on the connection that is there. One that refuses and has had none for six seconds is gone, though no reset has
+/// told so: a machine that was replaced leaves half-open connections. Guards callers against a call that is never
+/// released: it has to be within 8 s of its end.
+#[test]
+fn a_server_that_refuses_and_says_nothing_for_long_is_gone() {
+    let mut host = Host::new();
+    let from = host.now;
+    let said = host.fails(10 * S, S / 1000, true);
+    let gone = died(&said).expect("it is gone") - from;
+    assert!((5_900_000..7_500_000).contains(&gone), "{gone}");
+}
+
+#[test]
+fn a_server_that_refuses_and_has_a_word_now_and_then_keeps_its_calls() {
+    let mut host = Host::new();
+    let first = host.connects[0].0;
+    for free in 60..66 {
+        assert_eq!(died(&host.fails(4 * S, S / 1000, true)), None);
+        host.link.told(host.now, first, Told::Message(decoded(&notify(free, 100))));
+        host.done();
+    }
+}
+
+/// A connection that was asked for because others have set-ups open, and that is refused, says nothing of calls which
+/// stand at a server that had nothing to tell for long.
+#[test]
+fn a_further_connection_that_is_refused_cuts_no_calls() {
+    let mut host = Host::new();
+    host.now += 7 * S;
+    let mut said = Vec::new();
+    for id in [8, 9] {
+        said.extend(host.link.order(host.now, Order::Start(setup(id))));
+        host.done();
+    }
+    assert_eq!(host.connects.len(), 2, "the second set-up asks for a connection");
+    said.extend(host.told(Told::Failed { refused: true }));
+    assert!(said.is_empty(), "{said:?}");
+}
