Answer what is open at every end of a caller's connection, and send on nothing whose caller left

The callers' side was read from accept to close (isup/front.rs, net.rs, hub.rs, engine.rs, lib.rs); what was wrong, each with its test:

- A set-up and its give-up, or its close, that are read together went to a server first and were called off after.
While the program stands still a caller may have left for longer than 0.3 s.
- An answer in the queue of a connection that ends was dropped, and the call stood at its server for nobody (serve kept releases alone).
It is released now; what the socket took whole is known by count. endings: failed 3 of 3 before (no BYE).
- Bytes that nobody can read, or two set-ups under one id, closed the connection over the heads of other calls on it.
These get their answers now, or fail after 0.9 s: with the 2 s of a stalled message that stays under the 3 s in which such a client is owed a close. spoilt_caller.txt: failed before (CANCEL in place of the answer).
- A give-up that crosses an answer which the front gives by itself got a second one. rude.txt: failed before.
It used to expect that second answer for one id; an id that was never used now stands there, and the crossing beside it.
- A seat that is asked for in the moment in which a set-up comes on it was left with the answer owed.
Test in net.rs.
- At the end of the program a call of a class that must not be tried again was refused though it may have run: 'trying again is harmless'.
It fails now; the rule stands once, in Class::refusable. stop_unsafe.txt: failed before (cause 42).
- SIGHUP was not heard after SIGTERM (stop_moved.txt, failed before), a second SIGTERM was, and would have put off the end had the loop gone on.
The exit waits until nothing is in the core's queue at two looks, and until the writers are done, 0.1 s at most, as before.
- A server's half-close dropped the ACK and whatever else was on its way out (halves.txt, failed before).
- A message that is in the core's queue goes before a deadline of the same moment.
- Patience is whole milliseconds, and a class limit need not be: up to the next one is taken.

Found sound, with tests that passed before too: give-up, close, reset and half-close of callers whose set-ups are held, wait for a connection that comes up late, or for the release of an attempt (left.txt, left_connecting.txt; the next set-up and a silence show that nothing was sent on); the count of open calls (counted.txt); a quiet connection on which an answer is owed (owed.txt); a channel that repeats, ends in mid-line and falls silent (channel.txt); set-ups and answers cut anywhere.

--- a/proxy/src/dns/front.rs
+++ b/proxy/src/dns/front.rs
@@ -7,7 +7,7 @@
 use crate::engine::{Input, Reply, Request, Source};
 use crate::hub::Message;
 use crate::limits::Limits;
-use crate::net::{Seat, accept_all, messages, unix_now, write_all};
+use crate::net::{Next, Seat, accept_all, messages, unix_now, write_all};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -15,6 +15,7 @@
 use futures_lite::{future, pin};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::convert::Infallible;
 use std::hash::Hash;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
@@ -30,6 +31,8 @@
     pub limits: Limits,
     pub core: Sender<Message>,
     next: Cell<CallId>,
+    /// Dropped with the last task that serves.
+    _open: Sender<Infallible>,
 }
 
 /// The queries of one transport that have no answer yet, by call and by asker.
@@ -56,8 +59,14 @@
 }
 
 impl Front {
-    pub fn new(zone: Vec<String>, patience: Time, limits: Limits, core: Sender<Message>) -> Self {
-        Front { zone, patience, limits, core, next: Cell::new(0) }
+    pub fn new(
+        zone: Vec<String>,
+        patience: Time,
+        limits: Limits,
+        core: Sender<Message>,
+        open: Sender<Infallible>,
+    ) -> Self {
+        Front { zone, patience, limits, core, next: Cell::new(0), _open: open }
     }
 
     /// A call made of a query's bytes, or the answer that can be given at once.
@@ -148,7 +157,7 @@
             let queries =
                 messages(&stream, Decoder { most: self.limits.message }, self.limits.read, self.limits.rest);
             pin!(queries);
-            while let Some(Ok(bytes)) = seat.next(&mut queries, &self.limits).await {
+            while let Next::Message(bytes) = seat.next(&mut queries, &self.limits).await {
                 match self.read(&bytes, source) {
                     // Guards the core's table against one asker's flood.
                     Ok((_, query)) if waiting.borrow().calls.len() >= self.limits.open_per_caller => {
--- a/proxy/src/engine.rs
+++ b/proxy/src/engine.rs
@@ -6,8 +6,8 @@
 
 use crate::limits::Limits;
 use fernspan_core::{
-    Action, CallId, Controller, Entry, Event, ListKind, NewCall, Outcome, Place, Reason, Report, ServerId,
-    State, Time,
+    Action, CallId, Class, Controller, Entry, Event, ListKind, NewCall, Outcome, Place, Reason, Report,
+    ServerId, State, Time,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -150,8 +150,19 @@
 }
 
 enum Stage {
-    Open { deadline: Time, out: Option<(u32, ServerId, Time)>, attempts: u32, not_before: Time },
-    Stands { attempt: u32, server: ServerId, since: Time },
+    Open {
+        deadline: Time,
+        out: Option<(u32, ServerId, Time)>,
+        attempts: u32,
+        not_before: Time,
+        /// An attempt may have run: nothing has said that it did not.
+        may_have_run: bool,
+    },
+    Stands {
+        attempt: u32,
+        server: ServerId,
+        since: Time,
+    },
 }
 
 struct Call {
@@ -188,6 +199,8 @@
 pub struct Engine {
     controller: Controller,
     attempt_limit: u32,
+    /// By class, whether a call that may have run can still be refused.
+    refusable: Vec<bool>,
     release_wait: Time,
     hold_off: Option<Time>,
     margin: Time,
@@ -205,6 +218,7 @@
     pub fn new(settings: fernspan_core::Settings, seed: u64, limits: &Limits) -> Self {
         Engine {
             attempt_limit: settings.attempt_limit,
+            refusable: settings.classes.iter().map(Class::refusable).collect(),
             release_wait: settings.release_wait,
             hold_off: settings.max_hold_off,
             margin: limits.margin,
@@ -301,7 +315,7 @@
             deadline = deadline.min(stop);
         }
         self.deadlines.insert((deadline, r.id));
-        let stage = Stage::Open { deadline, out: None, attempts: 0, not_before: 0 };
+        let stage = Stage::Open { deadline, out: None, attempts: 0, not_before: 0, may_have_run: false };
         let call =
             Call { source: r.source, class: r.class, number: r.number.clone(), payload: r.payload, stage };
         self.calls.insert(r.id, call);
@@ -369,8 +383,11 @@
     /// Takes an attempt off the table, once.
     fn end_attempt(&mut self, id: CallId, attempt: u32, server: ServerId, end: End) -> Option<Event> {
         let now = self.now;
-        let Stage::Open { out, not_before, .. } = &mut self.calls.get_mut(&id)?.stage else { return None };
+        let Stage::Open { out, not_before, may_have_run, .. } = &mut self.calls.get_mut(&id)?.stage else {
+            return None;
+        };
         out.take_if(|(n, at, _)| *n == attempt && *at == server)?;
+        *may_have_run |= !matches!(end.outcome, Outcome::Full | Outcome::NoRoute | Outcome::NotSent);
         if matches!(end.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
             *not_before = now + self.release_wait;
         }
@@ -456,9 +473,9 @@
         self.tell(Event::List(kind, entries), out);
     }
 
-    /// From now on no call may wait past `at`.
+    /// From now on no call may wait past `at`. What was said first holds: whoever said it counts from then.
     fn stop(&mut self, at: Time) {
-        self.stop_at = Some(at);
+        let at = *self.stop_at.get_or_insert(at);
         let late: Vec<(Time, CallId)> = self.deadlines.iter().copied().filter(|d| d.0 > at).collect();
         for old in late {
             self.deadlines.remove(&old);
@@ -477,8 +494,11 @@
             out.push(Output::Order(server, Order::Cancel(id)));
             self.attempt_ended(id, n, server, End::plain(Outcome::Timeout), out);
         }
-        if self.calls.contains_key(&id) {
-            self.answer(id, Reply::Refused(self.hold_off), out);
+        if let Some(Call { class, stage: Stage::Open { may_have_run, .. }, .. }) = self.calls.get(&id) {
+            // Guards against a caller that is told to try again what may be done already.
+            let refusable = !may_have_run || self.refusable.get(*class).is_some_and(|r| *r);
+            let reply = if refusable { Reply::Refused(self.hold_off) } else { Reply::Failed };
+            self.answer(id, reply, out);
             self.tell(Event::Left(id), out);
         }
     }
@@ -541,7 +561,7 @@
         let ready = self.servers.get(&server).is_some_and(|s| s.0 == State::Ready);
         let now = self.now;
         let call = self.calls.get_mut(&id)?;
-        let Stage::Open { deadline, out: attempt, attempts, not_before } = &mut call.stage else {
+        let Stage::Open { deadline, out: attempt, attempts, not_before, .. } = &mut call.stage else {
             return None;
         };
         if attempt.is_some() {
--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -82,6 +82,8 @@
     /// Serves until it is told to stop and nothing is left to answer.
     pub async fn run(mut self, messages: Receiver<Message>) {
         let mut grace: Option<Time> = None;
+        // Nothing was open or waiting at the last look.
+        let mut settled = false;
         loop {
             let due = self.engine.due().into_iter().chain(grace).min();
             let wait = due.map(|at| Duration::from_micros(at.saturating_sub(unix_now())));
@@ -95,7 +97,7 @@
             .await;
             let now = unix_now();
             let mut out = Vec::new();
-            self.engine.handle_due(now, &mut out);
+            // What has come goes first. Guards an answer that waits here against its own deadline.
             match message {
                 Some(Message::Input(input)) => {
                     if let Input::SourceGone(source) = input {
@@ -108,17 +110,22 @@
                 Some(Message::List(kind, servers)) => self.list(now, kind, servers, &mut out),
                 Some(Message::Stop) => {
                     self.engine.handle(now, Input::Stop(now + self.limits.stop), &mut out);
-                    grace = Some(now + self.limits.grace);
+                    // A second one puts nothing off.
+                    grace.get_or_insert(now + self.limits.grace);
                 }
                 None => {}
             }
+            self.engine.handle_due(now, &mut out);
             self.carry_out(now, out);
             // Guards the writers: they get their turn however many messages wait here.
             future::yield_now().await;
             if grace.is_some_and(|at| now >= at) {
-                if self.engine.open() == 0 {
+                // Guards what has come and was not read yet: its connection gets its turn before the next look.
+                let nothing = self.engine.open() == 0 && messages.is_empty();
+                if nothing && settled {
                     return;
                 }
+                settled = nothing;
                 grace = Some(now + self.limits.look);
             }
         }
--- a/proxy/src/isup/front.rs
+++ b/proxy/src/isup/front.rs
@@ -4,15 +4,16 @@
 use crate::engine::{Input, Reply, Request, Source};
 use crate::hub;
 use crate::limits::Limits;
-use crate::net::{Seat, accept_all, messages, unix_now, write_all};
+use crate::net::{Next, Seat, accept_all, messages, unix_now, within};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
 use fernspan_core::{Place, Time};
-use futures_lite::{future, pin};
-use std::cell::RefCell;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future, pin};
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, VecDeque};
-use std::net::{TcpListener, TcpStream};
+use std::convert::Infallible;
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -33,6 +34,8 @@
     pub names: Names,
     pub limits: Limits,
     pub core: Sender<hub::Message>,
+    /// Dropped with the last task that serves.
+    pub _open: Sender<Infallible>,
 }
 
 /// The figures of a set-up, as in `dest:2;width:1;via:-1`.
@@ -83,7 +86,8 @@
             true => None,
             false => Some(named(&self.names.tenants, text(TENANT)?)?),
         };
-        let limit = self.names.patience[class];
+        // In whole milliseconds, as a set-up states it.
+        let limit = self.names.patience[class].div_ceil(1000) * 1000;
         let patience = match m.get(PATIENCE) {
             Some(_) => text(PATIENCE)?.parse::<Time>().ok().and_then(|ms| ms.checked_mul(1000)),
             None => Some(limit),
@@ -137,60 +141,159 @@
             return;
         }
         let (own, own_to_write) = async_channel::bounded(self.limits.own_queue);
+        let (flushed, flushes) = async_channel::bounded(1);
         let table = RefCell::new(Table::default());
-        let reading = async {
-            let decoder = Decoder { most: self.limits.message };
-            let messages = messages(&stream, decoder, self.limits.read, self.limits.rest);
-            pin!(messages);
-            while let Some(message) = seat.next(&mut messages, &self.limits).await {
-                let message = match message {
-                    Ok(message) => message,
-                    Err(e) => {
-                        eprintln!("caller {source}: {e}");
-                        return;
-                    }
-                };
-                let read = self.input(&message, source, &mut table.borrow_mut());
-                let answer = match read {
-                    Read::Input(input) => {
-                        if self.core.send(hub::Message::Input(input)).await.is_err() {
-                            return;
-                        }
-                        None
-                    }
-                    Read::Answer(answer) => Some(answer),
-                    Read::Nothing => None,
-                    Read::Close(why) => {
-                        eprintln!("caller {source}: {why}");
-                        return;
-                    }
-                };
-                if let Some(answer) = answer
-                    && own.send(answer).await.is_err()
-                {
-                    return;
+        let hand = Hand::default();
+        {
+            let writing = async {
+                self.write(&stream, &to_write, &own_to_write, &hand, &table, seat, &flushed).await;
+                flushed.close();
+                future::pending().await
+            };
+            let broken = async {
+                while flushes.recv().await.is_ok() {}
+                End::Gone
+            };
+            pin!(writing);
+            let reading = self.read(&stream, source, &table, &own, seat);
+            let end = future::or(reading, future::or(broken, &mut writing)).await;
+            let ending = async {
+                if end == End::Spoilt {
+                    self.answer_the_rest(&stream, &table, &to_write, &own, &flushes, &hand).await;
                 }
-                seat.used(!table.borrow().open.is_empty());
-                // One caller's flood must not keep the others from their turn.
-                future::yield_now().await;
+                // What is on its way to the caller leaves before the socket does.
+                to_write.close();
+                own.close();
+                while flushes.recv().await.is_ok() {}
+                end
+            };
+            if end != End::Gone {
+                within(self.limits.write, future::or(ending, &mut writing)).await;
+                let _ = stream.get_ref().shutdown(Shutdown::Write);
             }
-        };
-        let in_hand = RefCell::new(Vec::new());
-        let writing = self.write(&stream, &to_write, own_to_write, &in_hand, &table, seat);
-        future::or(reading, writing).await;
+        }
+        to_write.close();
+        // At once where nothing is open, so that a set-up which crosses the close is the nearer to it.
+        let nothing_open = table.borrow().open.is_empty();
+        let stream = Some(stream).filter(|_| !nothing_open);
         // Guards against a release that crosses the end of its connection: it goes on another one. So does one
         // that was written a moment ago and not heard, since it may have met a socket that was closed already.
-        to_write.close();
-        let mut left = in_hand.into_inner();
+        let mut left = hand.left();
         left.extend(
             table.into_inner().unheard(self.limits.heard).map(|(call, cause)| (call, Reply::Over(cause))),
         );
         left.extend(std::iter::from_fn(|| to_write.try_recv().ok()));
-        for (call, reply) in left.into_iter().filter(|(_, reply)| matches!(reply, Reply::Over(_))) {
-            let _ = self.core.send(hub::Message::Undelivered(call, reply)).await;
+        let mut unheard = BTreeSet::new();
+        for (call, reply) in left {
+            let message = match reply {
+                // Guards against a call that stands for a caller who was never told so.
+                Reply::Stands(_) => {
+                    unheard.insert(call);
+                    hub::Message::Input(Input::Unheard(call))
+                }
+                Reply::Over(_) if !unheard.contains(&call) => hub::Message::Undelivered(call, reply),
+                _ => continue,
+            };
+            let _ = self.core.send(message).await;
         }
         // Before the socket closes, so that a set-up which crosses that and comes again is not taken for this.
         let _ = self.core.send(hub::Message::Input(Input::SourceGone(source))).await;
+        drop(stream);
+    }
+
+    /// Guards what else is open on a connection against bytes that concern it not: it gets its answer, or fails in
+    /// the end.
+    async fn answer_the_rest(
+        &self,
+        stream: &Async<TcpStream>,
+        table: &RefCell<Table>,
+        to_write: &Receiver<(CallId, Reply)>,
+        own: &Sender<Message>,
+        flushes: &Receiver<()>,
+        hand: &Hand,
+    ) {
+        let answered = async {
+            while !table.borrow().open.is_empty() && flushes.recv().await.is_ok() {}
+            End::Spoilt
+        };
+        let end = within(self.limits.spoilt, future::or(answered, discard(stream))).await;
+        // Guards the one answer: what is being written stays, and what comes later is not passed on.
+        to_write.close();
+        let mut open = std::mem::take(&mut table.borrow_mut().open);
+        let in_hand: BTreeSet<CallId> = hand.replies.borrow().iter().map(|r| r.1).collect();
+        open.retain(|call| !in_hand.contains(call));
+        hand.keep_back(std::iter::from_fn(|| to_write.try_recv().ok()));
+        for call in open.into_iter().filter(|_| end != Some(End::Gone)) {
+            let failed = Message::new(RELEASE, call).with(CAUSE, &[CAUSE_FAILED]);
+            let _ = own.send(failed).await;
+        }
+    }
+
+    /// Takes what comes, until there is a reason to end the connection.
+    ///
+    /// What has come by now is looked at together. Guards the servers against set-ups that nobody waits for any
+    /// more: while this program stood still, or had no seat, their caller may have left.
+    async fn read(
+        &self,
+        stream: &Async<TcpStream>,
+        source: Source,
+        table: &RefCell<Table>,
+        own: &Sender<Message>,
+        seat: &Seat,
+    ) -> End {
+        let decoder = Decoder { most: self.limits.message };
+        let messages = messages(stream, decoder, self.limits.read, self.limits.rest);
+        pin!(messages);
+        loop {
+            let mut next = seat.next(&mut messages, &self.limits).await;
+            let (mut batch, mut held) = (Vec::new(), 0);
+            let end = loop {
+                match next {
+                    Next::Message(message) => {
+                        held += message.length();
+                        batch.push(message);
+                    }
+                    Next::End => break Some(End::Gone),
+                    Next::Leave => break Some(End::Idle),
+                    Next::Failed(e) => {
+                        eprintln!("caller {source}: {e}");
+                        break Some(if matches!(e, WireError::Io(_)) { End::Gone } else { End::Spoilt });
+                    }
+                }
+                if held >= self.limits.message {
+                    break None;
+                }
+                seat.used(true);
+                match future::poll_once(seat.next(&mut messages, &self.limits)).await {
+                    Some(more) => next = more,
+                    None => break None,
+                }
+            };
+            withdraw(&mut batch, end == Some(End::Gone), &table.borrow().open);
+            for message in batch {
+                let read = self.input(&message, source, &mut table.borrow_mut());
+                let taken = match read {
+                    Read::Input(input) => self.core.send(hub::Message::Input(input)).await.is_ok(),
+                    Read::Answer(answer) => own.send(answer).await.is_ok(),
+                    Read::Nothing => true,
+                    Read::Twice => {
+                        eprintln!("caller {source}: two set-ups under one id");
+                        let left = Input::Left(message.call, source);
+                        let _ = self.core.send(hub::Message::Input(left)).await;
+                        return End::Spoilt;
+                    }
+                };
+                if !taken {
+                    return End::Gone;
+                }
+            }
+            if let Some(end) = end {
+                return end;
+            }
+            seat.used(!table.borrow().open.is_empty());
+            // One caller's flood must not keep the others from their turn.
+            future::yield_now().await;
+        }
     }
 
     /// What a message asks for.
@@ -199,11 +302,12 @@
         let release = |cause: u8| Message::new(RELEASE, call).with(CAUSE, &[cause]);
         match message.kind {
             // Guards the one answer: with two set-ups under one id, it could be that of the other.
-            SETUP if table.open.contains(&call) => Read::Close("two set-ups under one id"),
+            SETUP if table.open.remove(&call) => Read::Twice,
             // Guards the core's queue and its table against one caller's flood.
             SETUP if table.open.len() >= self.limits.open_per_caller => {
                 let refused = release(CAUSE_REFUSED);
                 let wait = self.names.hold_off.map(|us| (us / 1000).to_string());
+                table.answered(call);
                 Read::Answer(wait.iter().fold(refused, |m, ms| m.with(COME_BACK, ms.as_bytes())))
             }
             SETUP => match self.request(message, source) {
@@ -211,8 +315,13 @@
                     table.open.insert(call);
                     Read::Input(Input::Call(request))
                 }
-                Err(cause) => Read::Answer(release(cause)),
+                Err(cause) => {
+                    table.answered(call);
+                    Read::Answer(release(cause))
+                }
             },
+            // Guards the one answer: a give-up that crosses it gets no second.
+            RELEASE if table.own.contains(&call) => Read::Nothing,
             RELEASE => {
                 table.open.remove(&call);
                 Read::Input(Input::Left(call, source))
@@ -227,31 +336,41 @@
         }
     }
 
-    /// Writes replies, which are kept `in_hand` until they are out.
+    /// Writes replies, which are kept in `hand` until they are out, and says each time that they are. Ends when
+    /// both queues are closed and empty, or the caller takes nothing more.
+    #[allow(clippy::too_many_arguments)]
     async fn write(
         &self,
         stream: &Async<TcpStream>,
         replies: &Receiver<(CallId, Reply)>,
-        own: Receiver<Message>,
-        in_hand: &RefCell<Vec<(CallId, Reply)>>,
+        own: &Receiver<Message>,
+        hand: &Hand,
         table: &RefCell<Table>,
         seat: &Seat,
+        flushed: &Sender<()>,
     ) {
         loop {
             let reply = async { replies.recv().await.ok().map(|r| (Some(r), None)) };
-            let own = async { own.recv().await.ok().map(|m| (None, Some(m))) };
-            let Some((reply, own)) = future::or(reply, own).await else { return };
-            let mut bytes = own.and_then(|m| m.encode(self.limits.message)).unwrap_or_default();
-            let all = reply.into_iter().chain(std::iter::from_fn(|| replies.try_recv().ok()));
-            in_hand.borrow_mut().extend(all);
-            for (call, reply) in in_hand.borrow().iter() {
-                bytes.extend(self.encode(*call, reply).unwrap_or_default());
+            let answer = async { own.recv().await.ok().map(|m| (None, Some(m))) };
+            let (reply, answer) = future::or(reply, answer).await.unwrap_or_default();
+            let mut bytes = Vec::new();
+            for message in answer.into_iter().chain(std::iter::from_fn(|| own.try_recv().ok())) {
+                bytes.extend(message.encode(self.limits.message).unwrap_or_default());
+            }
+            for (call, reply) in reply.into_iter().chain(std::iter::from_fn(|| replies.try_recv().ok())) {
+                bytes.extend(self.encode(call, &reply).unwrap_or_default());
+                hand.replies.borrow_mut().push((bytes.len(), call, reply));
+            }
+            if bytes.is_empty() && hand.replies.borrow().is_empty() {
+                return;
             }
-            if write_all(stream, &bytes, self.limits.write).await.is_err() {
+            hand.written.set(0);
+            let written = within(self.limits.write, hand.write(stream, &bytes)).await;
+            if written.is_none_or(|w| w.is_err()) {
                 return;
             }
             let mut table = table.borrow_mut();
-            for (call, reply) in in_hand.borrow_mut().drain(..) {
+            for (_, call, reply) in hand.replies.borrow_mut().drain(..) {
                 match reply {
                     Reply::Stands(_) => seat.prove(),
                     Reply::Refused(_) | Reply::Failed => {}
@@ -264,20 +383,100 @@
                 table.open.remove(&call);
             }
             seat.used(!table.open.is_empty());
+            let _ = flushed.try_send(());
         }
     }
 }
 
+/// How a connection came to its end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum End {
+    /// The caller has left, it broke, or the core has dropped it: nothing goes out on it any more.
+    Gone,
+    /// Closed by this side, with nothing open on it.
+    Idle,
+    /// Nobody can read what comes on it.
+    Spoilt,
+}
+
+/// Replies on their way to the socket, with where each of them ends in what is being written.
+#[derive(Default)]
+struct Hand {
+    replies: RefCell<Vec<(usize, CallId, Reply)>>,
+    /// How much of it the socket has taken.
+    written: Cell<usize>,
+    /// Replies that are not to go out here.
+    kept: RefCell<Vec<(CallId, Reply)>>,
+}
+
+impl Hand {
+    async fn write(&self, mut stream: &Async<TcpStream>, bytes: &[u8]) -> std::io::Result<()> {
+        while let Some(left) = bytes.get(self.written.get()..).filter(|left| !left.is_empty()) {
+            match stream.write(left).await? {
+                0 => return Err(std::io::ErrorKind::WriteZero.into()),
+                n => self.written.set(self.written.get() + n),
+            }
+        }
+        Ok(())
+    }
+
+    fn keep_back(&self, replies: impl Iterator<Item = (CallId, Reply)>) {
+        self.kept.borrow_mut().extend(replies);
+    }
+
+    /// What has not gone out whole, and releases in any case.
+    fn left(self) -> Vec<(CallId, Reply)> {
+        let written = self.written.get();
+        let lost = |end: usize, reply: &Reply| end > written || matches!(reply, Reply::Over(_));
+        let replies = self.replies.into_inner().into_iter();
+        let lost = replies.filter(|(end, _, reply)| lost(*end, reply)).map(|(_, call, reply)| (call, reply));
+        lost.chain(self.kept.into_inner()).collect()
+    }
+}
+
+/// Takes out the set-ups whose caller has left by now: `gone`, or with a give-up further on, which goes as well.
+fn withdraw(batch: &mut Vec<Message>, gone: bool, open: &BTreeSet<CallId>) {
+    let mut given_up = BTreeSet::new();
+    let mut left = BTreeSet::new();
+    for message in batch.iter().rev().filter(|m| !open.contains(&m.call)) {
+        match message.kind {
+            RELEASE => given_up.insert(message.call),
+            SETUP if given_up.contains(&message.call) => left.insert(message.call),
+            _ => false,
+        };
+    }
+    batch.retain(|m| !(left.contains(&m.call) || gone && m.kind == SETUP));
+}
+
+/// Reads and forgets, until the other side closes.
+async fn discard(mut stream: &Async<TcpStream>) -> End {
+    let mut bytes = [0; 1024];
+    while stream.read(&mut bytes).await.is_ok_and(|n| n > 0) {
+        future::yield_now().await;
+    }
+    End::Gone
+}
+
 /// What a connection has to remember.
 #[derive(Default)]
 struct Table {
     /// Set-ups that have no answer yet.
     open: BTreeSet<CallId>,
+    /// The latest that were answered here, without the core.
+    own: VecDeque<CallId>,
     /// Releases that were written and not heard yet, with their causes, the oldest first.
     released: VecDeque<(CallId, u8, Instant)>,
 }
 
+/// How many set-ups that were answered without the core a connection remembers.
+const OWN_MOST: usize = 128;
+
 impl Table {
+    fn answered(&mut self, call: CallId) {
+        self.own.truncate(OWN_MOST - 1);
+        self.own.push_front(call);
+    }
+
     /// Notes a release. Callers need not say that they have heard one, so it is forgotten in time.
     fn wrote_release(&mut self, call: CallId, cause: u8, within: Duration) {
         while self.released.front().is_some_and(|r| r.2.elapsed() >= within) {
@@ -299,7 +498,8 @@
     Input(Input),
     Answer(Message),
     Nothing,
-    Close(&'static str),
+    /// A set-up under the id of one that was open.
+    Twice,
 }
 
 /// Whether a number can stand in a SIP address as it is.
--- a/proxy/src/isup/mod.rs
+++ b/proxy/src/isup/mod.rs
@@ -63,6 +63,11 @@
         self.get(code).and_then(|v| std::str::from_utf8(v).ok())
     }
 
+    /// Bytes that it took on the wire.
+    pub fn length(&self) -> usize {
+        11 + self.parameters.iter().map(|p| p.1.len() + 3).sum::<usize>()
+    }
+
     /// The bytes, or nothing where they would be over `most`.
     pub fn encode(&self, most: usize) -> Option<Vec<u8>> {
         let mut bytes = vec![0, 0, self.kind];
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -19,20 +19,31 @@
 use crate::engine::Engine;
 use crate::hub::{Core, Message};
 use crate::limits::Limits;
+use crate::net::within;
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
-use async_io::{Async, Timer};
+use async_io::Async;
 use async_signal::{Signal, Signals};
 use fernspan_core::ListKind;
 use futures_lite::{StreamExt, future};
+use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::time::Duration;
 
 /// What all tasks of the program run on.
 pub type Executor = Rc<LocalExecutor<'static>>;
-/// A core at work, and the way to it.
-type Serving = (Sender<Message>, Task<()>);
+
+/// A core at work, and what serves it.
+struct Serving {
+    /// The way to the core.
+    queue: Sender<Message>,
+    core: Task<()>,
+    /// What takes connections.
+    front: Vec<Task<()>>,
+    /// Closed once the last connection has ended.
+    ended: Receiver<Infallible>,
+}
 
 /// Reads what is configured and serves until SIGTERM.
 pub async fn start(executor: Executor) -> Result<(), String> {
@@ -59,7 +70,7 @@
     if serving.is_empty() {
         return Err("neither PROXY_CONFIG nor PROXY_ENUM names a file".to_owned());
     }
-    let queues: Vec<Sender<Message>> = serving.iter().map(|s| s.0.clone()).collect();
+    let queues: Vec<Sender<Message>> = serving.iter().map(|s| s.queue.clone()).collect();
     let stop = async {
         while let Some(signal) = signals.next().await {
             match (signal, &reload) {
@@ -70,20 +81,20 @@
                     for queue in &queues {
                         let _ = queue.send(Message::Stop).await;
                     }
-                    break;
                 }
             }
         }
         future::pending().await
     };
     let served = async {
-        for (_, task) in serving {
-            task.await;
+        for Serving { core, front, ended, .. } in serving {
+            core.await;
+            // The last answers are with the connections' writers by now; they get a moment to leave.
+            drop(front);
+            within(flush, async { while ended.recv().await.is_ok() {} }).await;
         }
     };
     future::or(served, stop).await;
-    // The last answers are with the connections' writers by now; they get a moment to leave.
-    Timer::after(flush).await;
     Ok(())
 }
 
@@ -130,7 +141,7 @@
     let setups = sip::link::Setups { shared: Rc::new(shared), executor: executor.clone() };
     let engine = Engine::new(config.start.settings, config.seed, &limits);
     let core = Core::new(engine, setups, limits.clone(), queue.clone());
-    let task = executor.spawn(core.run(messages));
+    let core = executor.spawn(core.run(messages));
 
     // The events of the start go in before anybody can ask, so that a test passes only when all is ready.
     for event in config.known {
@@ -148,9 +159,10 @@
     executor.spawn(feed.run()).detach();
     let listener = listen(config.listen)?;
     eprintln!("{}: serving on {}", config.name, local(&listener)?);
-    let front = isup::front::Front { names, limits, core: queue.clone() };
-    executor.spawn(isup::front::listen(Rc::new(front), listener, executor.clone())).detach();
-    Ok((queue, task))
+    let (open, ended) = async_channel::bounded(1);
+    let front = isup::front::Front { names, limits, core: queue.clone(), _open: open };
+    let front = vec![executor.spawn(isup::front::listen(Rc::new(front), listener, executor.clone()))];
+    Ok(Serving { queue, core, front, ended })
 }
 
 /// ENUM look-ups: askers in front, name servers behind, the operator's file beside them.
@@ -169,7 +181,7 @@
     };
     let engine = Engine::new(operator.settings, seed, &limits);
     let core = Core::new(engine, Rc::new(backend), limits.clone(), queue.clone());
-    let task = executor.spawn(core.run(messages));
+    let core = executor.spawn(core.run(messages));
 
     send(&queue, Message::List(ListKind::Saved, operator.cluster.servers)).await?;
     executor.spawn(operator::watch(path.into(), text, limits.watch, queue.clone())).detach();
@@ -178,10 +190,14 @@
     let socket = Async::<UdpSocket>::bind(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
     eprintln!("ENUM: serving on {at}");
     let patience = operator.patience.as_micros() as u64;
-    let front = Rc::new(dns::front::Front::new(operator.zone, patience, limits, queue.clone()));
-    executor.spawn(front.clone().datagrams(socket)).detach();
-    executor.spawn(front.connections(listener, executor.clone())).detach();
-    Ok((queue, task))
+    let (open, ended) = async_channel::bounded(1);
+    let enumerator = dns::front::Front::new(operator.zone, patience, limits, queue.clone(), open);
+    let enumerator = Rc::new(enumerator);
+    let front = vec![
+        executor.spawn(enumerator.clone().datagrams(socket)),
+        executor.spawn(enumerator.connections(listener, executor.clone())),
+    ];
+    Ok(Serving { queue, core, front, ended })
 }
 
 fn listen(addr: SocketAddr) -> Result<Async<TcpListener>, String> {
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -32,6 +32,9 @@
     pub first: Duration,
     /// A client's message that has begun is whole by then.
     pub rest: Duration,
+    /// What is open on a caller's connection that nobody can read is answered by then. With `rest` it stays under
+    /// the 3 s in which such a client is owed a word or a close.
+    pub spoilt: Duration,
     /// A server's message that has begun is whole by then: others wait behind it.
     pub server_rest: Duration,
     /// A connection that came or was used within this time is not closed to make room.
@@ -113,6 +116,7 @@
             idle: Duration::from_secs(5),
             first: Duration::from_millis(1_500),
             rest: Duration::from_secs(2),
+            spoilt: Duration::from_millis(900),
             server_rest: Duration::from_millis(250),
             settle: Duration::from_millis(150),
             open_calls,
--- a/proxy/src/net.rs
+++ b/proxy/src/net.rs
@@ -129,6 +129,18 @@
     within(limit, writer.write_all(bytes)).await.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
 }
 
+/// What comes next on a connection.
+#[derive(Debug)]
+pub enum Next<T> {
+    Message(T),
+    /// Bytes that nobody can read, or the connection broke.
+    Failed(WireError),
+    /// The other side has closed it, or closed its half.
+    End,
+    /// It is time to close it: its seat is wanted, or nothing has come for too long while nothing is owed.
+    Leave,
+}
+
 /// A connection's place among those that its listener holds.
 pub struct Seat {
     /// An answer is owed on it.
@@ -159,20 +171,30 @@
         self.proven.set(true);
     }
 
-    /// The next message, or nothing when it is time to close: an error, the end, the seat is wanted, or
-    /// nothing has come for too long while nothing is owed. A peer that was never served is given less time.
+    /// Waits for what comes next. A peer that was never served is given less time.
     pub async fn next<T>(
         &self,
         mut messages: impl Stream<Item = Result<T, WireError>> + Unpin,
         limits: &Limits,
-    ) -> Option<Result<T, WireError>> {
+    ) -> Next<T> {
         loop {
             let wait = if self.proven.get() { limits.idle } else { limits.first };
-            let next = async { Some(messages.next().await) };
-            let leave = async { self.leave.1.recv().await.ok().map(|()| None) };
+            let next = async {
+                match messages.next().await {
+                    Some(Ok(message)) => Next::Message(message),
+                    Some(Err(e)) => Next::Failed(e),
+                    None => Next::End,
+                }
+            };
+            let leave = async {
+                let _ = self.leave.1.recv().await;
+                Next::Leave
+            };
             match within(wait, future::or(next, leave)).await {
-                Some(found) => return found.flatten(),
-                None if !self.busy.get() && self.active.get().elapsed() >= wait => return None,
+                // Guards a set-up that has come since the seat was asked for: its answer is owed here.
+                Some(Next::Leave) if self.busy.get() => {}
+                Some(next) => return next,
+                None if !self.busy.get() && self.active.get().elapsed() >= wait => return Next::Leave,
                 None => {}
             }
         }
@@ -233,3 +255,25 @@
         future::yield_now().await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A seat that is asked for in the moment in which a set-up comes on its connection: the answer is owed there.
+    #[test]
+    fn a_connection_on_which_something_is_owed_is_not_left() {
+        let limits = Limits::new(256, 64 << 20, 20_000, Duration::from_millis(500));
+        let mut messages = Box::pin(stream::once(Ok(7)).chain(stream::pending()));
+        async_io::block_on(async {
+            let seat = Rc::new(Seat::new());
+            make_room([&seat].into_iter(), 1, Duration::ZERO);
+            assert!(matches!(seat.next(&mut messages, &limits).await, Next::Message(7)));
+            seat.used(true);
+            assert!(future::poll_once(seat.next(&mut messages, &limits)).await.is_none());
+            seat.used(false);
+            make_room([&seat].into_iter(), 1, Duration::ZERO);
+            assert!(matches!(seat.next(&mut messages, &limits).await, Next::Leave));
+        });
+    }
+}
--- a/proxy/src/sip/link.rs
+++ b/proxy/src/sip/link.rs
@@ -11,6 +11,7 @@
 use async_io::{Async, Timer};
 use fernspan_core::ServerId;
 use futures_lite::{StreamExt, future, pin};
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -132,9 +133,20 @@
             };
             let _ = stream.get_ref().set_nodelay(true);
             let _ = tell.send((id, Told::Up)).await;
-            future::or(read(&limits, &stream, id, &tell), write_queue(&limits, &stream, to_write)).await;
+            // Nothing more will come; what is on its way out leaves, until the link drops its end. Guards a release
+            // or a give-up that crosses the close of the server's half.
+            let ended = Cell::new(false);
+            let reading = async {
+                read(&limits, &stream, id, &tell).await;
+                ended.set(true);
+                let _ = tell.send((id, Told::Closed)).await;
+                future::pending().await
+            };
+            future::or(reading, write_queue(&limits, &stream, to_write)).await;
             drop(stream);
-            let _ = tell.send((id, Told::Closed)).await;
+            if !ended.get() {
+                let _ = tell.send((id, Told::Closed)).await;
+            }
         };
         self.executor.spawn(task).detach();
     }
--- a/proxy/tests/play/mod.rs
+++ b/proxy/tests/play/mod.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -108,6 +108,10 @@
     filling: Vec<TcpStream>,
     /// The program's memory as it was noted, in KB.
     noted: u64,
+    /// The sockets that it had open as they were noted.
+    sockets_noted: usize,
+    /// Other values of fields of the configuration.
+    settings: Vec<(String, String)>,
 }
 
 /// Plays one file.
@@ -121,7 +125,9 @@
         } else if !line.is_empty() && !line.starts_with('#') {
             let line = expand(line, &defs);
             let n = (n + 1).saturating_sub(PRELUDE.lines().count());
-            play.line(&line).unwrap_or_else(|e| panic!("line {n}: {line}\n{e}"));
+            let done = play.line(&line);
+            let log = || play.program.iter().flat_map(|p| p.log.try_iter()).collect::<Vec<_>>().join("\n");
+            done.unwrap_or_else(|e| panic!("line {n}: {line}\n{e}\nits log:\n{}", log()));
         }
     }
 }
@@ -150,6 +156,21 @@
             }
             ("wait", ms) => std::thread::sleep(Duration::from_millis(ms.parse().map_err(|_| "wait")?)),
             ("terminate", _) => self.signal("-TERM")?,
+            // Whatever comes meanwhile waits for it, and is there all together when it goes on.
+            ("program", "stops") => self.signal("-STOP")?,
+            ("program", "continues") => self.signal("-CONT")?,
+            ("setting", field) => self.settings.push((field.to_owned(), bytes.to_owned())),
+            ("sockets", "noted") => self.sockets_noted = self.open_sockets()?,
+            ("sockets", fewer) => {
+                let left = fewer.parse::<usize>().ok().and_then(|n| self.sockets_noted.checked_sub(n));
+                let (left, end) = (left.ok_or("sockets FEWER")?, Instant::now() + PATIENCE);
+                while self.open_sockets()? != left {
+                    if Instant::now() > end {
+                        return Err(format!("{} of {}", self.open_sockets()?, self.sockets_noted));
+                    }
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+            }
             ("channel", "churns") => {
                 let (first, count) = bytes.split_once(' ').ok_or("churns FIRST COUNT")?;
                 let first: usize = first.parse().map_err(|_| "churns FIRST")?;
@@ -175,6 +196,7 @@
                     self.filling.push(TcpStream::connect(at).map_err(|e| e.to_string())?);
                 }
             }
+            ("server", name) => drop(self.listeners.insert(name.to_owned(), listener())),
             // The channel of that name, or no configuration at all; then the reload.
             ("reload", "bad") => {
                 self.rewrite("{".to_owned())?;
@@ -199,6 +221,9 @@
             (_, "<") => self.expect(who, bytes)?,
             (_, "closes") => drop(self.ends.remove(who)),
             (_, "hangs") => self.hang(who)?,
+            (_, "accepts") => self.empty(who)?,
+            (_, "ends") => self.stream(who)?.shutdown(Shutdown::Write).map_err(|e| e.to_string())?,
+            (_, "resets") => self.reset(who)?,
             (_, "stops") => drop(self.listeners.remove(who)),
             (_, "closed") => self.closed(who)?,
             (_, "quiet") => self.quiet(who, bytes)?,
@@ -224,6 +249,32 @@
         Ok(())
     }
 
+    /// The stream of that name, which is open.
+    fn stream(&mut self, who: &str) -> Result<&mut TcpStream, String> {
+        match self.end(who)? {
+            End::Stream(stream, _) => Ok(stream),
+            _ => Err("no connection".to_owned()),
+        }
+    }
+
+    /// Closes with something unread, which resets the connection: the answer to a test.
+    fn reset(&mut self, who: &str) -> Result<(), String> {
+        let stream = self.stream(who)?;
+        stream.write_all(b"\0\x0d\x34\0\0\0\0\0\0\0\0\x2c\0\x01\0").map_err(|e| e.to_string())?;
+        stream.set_read_timeout(Some(PATIENCE)).map_err(|e| e.to_string())?;
+        stream.peek(&mut [0]).map_err(|e| e.to_string())?;
+        self.ends.remove(who);
+        Ok(())
+    }
+
+    /// Sockets that the program has open.
+    fn open_sockets(&self) -> Result<usize, String> {
+        let id = self.program.as_ref().ok_or("no program")?.child.id();
+        let open = std::fs::read_dir(format!("/proc/{id}/fd")).map_err(|e| e.to_string())?;
+        let links = open.filter_map(|fd| std::fs::read_link(fd.ok()?.path()).ok());
+        Ok(links.filter(|to| to.to_string_lossy().starts_with("socket:")).count())
+    }
+
     /// What the program holds in memory, in KB.
     fn memory(&self) -> Result<u64, String> {
         let id = self.program.as_ref().ok_or("no program")?.child.id();
@@ -275,7 +326,8 @@
             let endpoints = self.endpoints(servers).expect("endpoints");
             ("PROXY_ENUM", OPERATOR.replace("SERVERS", &endpoints))
         } else {
-            ("PROXY_CONFIG", CONFIG.replace("SERVERS", &listed.join(",")).replace("CHANNEL", &at))
+            let text = CONFIG.replace("SERVERS", &listed.join(",")).replace("CHANNEL", &at);
+            ("PROXY_CONFIG", self.settings.iter().fold(text, |text, (field, value)| set(&text, field, value)))
         };
         let program = Program::start(variable, &text);
         self.address = Some(program.address());
@@ -432,6 +484,16 @@
         Ok(())
     }
 
+    /// Takes what has filled a server's backlog, so that a connect which waits there comes up.
+    fn empty(&mut self, who: &str) -> Result<(), String> {
+        let filled = std::mem::take(&mut self.filling);
+        let listener = self.listeners.get(who).ok_or("no such server")?;
+        for _ in &filled {
+            accept(listener)?;
+        }
+        Ok(())
+    }
+
     fn closed(&mut self, who: &str) -> Result<(), String> {
         let End::Stream(stream, kept) = self.end(who)? else { return Err("no connection".to_owned()) };
         stream.set_read_timeout(Some(PATIENCE)).map_err(|e| e.to_string())?;
@@ -560,6 +622,14 @@
     }
 }
 
+/// Puts another value in the place of a field's, which is a number, a text or a flag.
+fn set(text: &str, field: &str, value: &str) -> String {
+    let name = format!("\"{field}\":");
+    let (before, after) = text.split_once(&name).unwrap_or_else(|| panic!("no field {field}"));
+    let end = after.find([',', '}']).expect("a value ends");
+    format!("{before}{name}{value}{}", &after[end..])
+}
+
 fn listener() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").expect("a free port")
 }
--- a/proxy/tests/recorded.rs
+++ b/proxy/tests/recorded.rs
@@ -1,5 +1,6 @@
 //! Recorded byte exchanges, played against the program. None needs anything but loopback.
 
+mod endings;
 mod play;
 
 use play::{PATIENCE, Program, play};
@@ -18,6 +19,7 @@
 recorded! {
     call garbage refusals crossings standing reset vanish drain stop reload rude crowd spoilt churn dead
     refuses sparing
+    left left_connecting left_unread counted spoilt_caller owed stop_unsafe stop_moved channel halves
     enum_answers enum_late enum_tcp enum_errors enum_health
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -584,9 +584,7 @@
     fn give_up(&mut self, id: CallId, actions: &mut Vec<Action>) {
         let Some(call) = self.calls.remove(&id) else { return };
         let class = &self.settings.classes[call.class];
-        let repeatable = class.effect == Effect::Keyed && class.group == Group::All;
-        let refusable = call.may_run.is_none() || class.effect == Effect::Safe || repeatable;
-        actions.push(match refusable {
+        actions.push(match call.may_run.is_none() || class.refusable() {
             true => {
                 let wave = self.sites.any_lost().then(|| self.rng.next_u32());
                 let hold_off = refusal::hold_off(&self.settings, wave);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -53,6 +53,13 @@
     pub places: Option<Vec<Place>>,
 }
 
+impl Class {
+    /// Whether a call of it that may have run can still be refused.
+    pub fn refusable(&self) -> bool {
+        self.effect == Effect::Safe || self.effect == Effect::Keyed && self.group == Group::All
+    }
+}
+
 /// What the settings say of one tenant.
 #[derive(Clone, Debug)]
 pub struct Tenant {
