Send no call again where a copy of its refusal may come, and a release again that met a close

- Servers answer every INVITE with CSeq 1, so an answer is told apart by call and connection alone.
A call that is refused and goes again to the same server at once (it errs, and no other takes the call) was ended by a second copy of that refusal, and sent a third time with two attempts out.
It takes another connection now, or waits 100 ms: copies come some milliseconds late.
- A BYE that met a connection closed in the same moment was lost, and the call stood for nobody.
- A server that refuses connections and is mute was taken to be gone after 6 s.
- The program leaves the last answers 0.25 s to go out, not 0.1 s: all is answered 3.3 s after SIGTERM, and 3.7 s are given.

--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -17,6 +17,9 @@
     /// Replies of the core that may wait for one caller's connection, and of the front.
     pub caller_queue: usize,
     pub own_queue: usize,
+    /// How long after a server's refusal a second copy of it may come. They tell nothing of the attempt that they are
+    /// for, so the same call is not sent on the same connection before; copies come some milliseconds late.
+    pub copy: Time,
     /// Set-ups without an answer on one caller's connection at most; more are refused at once.
     pub open_per_caller: usize,
     /// Most circuits that a set-up may ask for.
@@ -62,6 +65,9 @@
     /// The same where it will tell whether its calls are gone, from its last word. What stood is released within 8 s
     /// of its end: this, a connect and what may come late stay under that.
     pub gone: Time,
+    /// A server that refuses connections, and has said nothing for so long on those that it has, is gone with what
+    /// stands there. As late as the release may be, since one that drains may have nothing to say.
+    pub mute: Time,
     /// Wait before a server is connected to again, on average.
     pub reconnect: Duration,
     /// The same while its whole site is out of reach.
@@ -81,7 +87,7 @@
     pub margin: Time,
     /// Ended calls that are remembered.
     pub remembered: usize,
-    /// A release that was not heard goes out again if its connection ends within this time.
+    /// A release that was not heard, by a caller or a server, goes out again if its connection ends within this time.
     pub heard: Duration,
     /// Releases kept for callers that have no connection open.
     pub undelivered: usize,
@@ -108,6 +114,7 @@
             link_queue: 512,
             caller_queue: 256,
             own_queue: 16,
+            copy: 100_000,
             open_per_caller: 128,
             units: 64,
             // Callers hold a third by the protocol; as much again is left for servers and spare.
@@ -130,6 +137,7 @@
             silent: 2_000_000,
             vanished: 2_000_000,
             gone: 6_000_000,
+            mute: 7_200_000,
             reconnect: Duration::from_millis(500),
             resting: Duration::from_secs(2),
             awake: Duration::from_millis(200),
@@ -145,7 +153,7 @@
             grace: 700_000,
             stop: 3_300_000,
             look: 10_000,
-            flush: Duration::from_millis(100),
+            flush: Duration::from_millis(250),
             pause: Duration::from_millis(20),
         }
     }
--- a/proxy/src/sip/state.rs
+++ b/proxy/src/sip/state.rs
@@ -79,6 +79,12 @@
     standing: BTreeSet<CallId>,
     /// Releases that wait for a connection.
     releases: Vec<(CallId, u8)>,
+    /// Releases that went out on a connection of late and were not heard, the oldest first.
+    unheard: VecDeque<(CallId, u8, u64, Time)>,
+    /// Calls that were refused on a connection of late, the oldest first.
+    refused: VecDeque<(CallId, u64, Time)>,
+    /// Set-ups that wait until no second copy of such a refusal can come, and when that is.
+    held: VecDeque<(Time, Setup)>,
     /// When to connect again.
     connect_at: Option<Time>,
     /// No further connection is opened before: the server has none left.
@@ -112,6 +118,9 @@
             setups: BTreeMap::new(),
             standing: BTreeSet::new(),
             releases: Vec::new(),
+            unheard: VecDeque::new(),
+            refused: VecDeque::new(),
+            held: VecDeque::new(),
             connect_at: Some(now),
             more_at: 0,
             heard: now,
@@ -146,25 +155,46 @@
         inputs
     }
 
-    /// When to connect: after a loss, or to see whether a silent server lives.
+    /// When it wants to be looked after.
     pub fn due(&self) -> Option<Time> {
+        let held = self.held.front().map(|h| h.0);
+        held.into_iter().chain(self.connect_due()).min()
+    }
+
+    /// When to connect: after a loss, or to see whether a silent server lives.
+    fn connect_due(&self) -> Option<Time> {
         if self.conns.values().any(|c| !c.up) {
             return None;
         }
         // Guards against a machine that has vanished with its calls: nobody else tells of it in time, and
         // its connections stay open and silent.
-        let silent = self.heard + self.shared.limits.silent;
+        let limits = &self.shared.limits;
+        let (silent, mute) = (self.heard + limits.silent, self.word + limits.mute);
+        let silent = if self.heard < mute { silent.min(mute) } else { silent };
         let silent = Some(silent).filter(|_| !self.standing.is_empty());
         // Guards against a look at a silent server that fails at once and is taken again at once: after a
         // failure the next one is due at its own time, however long the silence.
         self.connect_at.or(silent)
     }
 
-    /// Connects, when that is due.
+    /// Does what is due.
     pub fn look(&mut self, now: Time) -> Vec<Input> {
         self.now = now;
+        let mut inputs = Vec::new();
+        while let Some((_, setup)) = self.held.pop_front_if(|h| h.0 <= now) {
+            inputs.extend(self.start(setup));
+        }
+        if self.connect_due().is_some_and(|at| at <= now) {
+            self.look_for_life();
+        }
+        inputs
+    }
+
+    fn look_for_life(&mut self) {
         self.connect_at = None;
-        self.looking = !self.standing.is_empty() && now >= self.heard + self.shared.limits.silent;
+        let limits = &self.shared.limits;
+        let silent = self.now >= (self.heard + limits.silent).min(self.word + limits.mute);
+        self.looking = silent && !self.standing.is_empty();
         let busy: BTreeSet<u64> = self.setups.values().map(|o| o.conn).collect();
         if self.conns.len() >= self.shared.limits.server_conns {
             match self.conns.keys().copied().find(|id| !busy.contains(id)) {
@@ -174,12 +204,11 @@
                 // All have set-ups open: these end by their own deadlines first.
                 None => {
                     self.heard = self.now;
-                    return Vec::new();
+                    return;
                 }
             }
         }
         self.connect();
-        Vec::new()
     }
 
     /// Takes an order of the core.
@@ -189,6 +218,7 @@
             Order::Start(setup) => self.start(setup),
             Order::Cancel(call) => {
                 self.queue.retain(|s| s.id != call);
+                self.held.retain(|h| h.1.id != call);
                 if let Some(out) = self.setups.remove(&call) {
                     self.write(out.conn, follow_up("CANCEL", &out.number, call, out.attempt + 1, ""));
                 }
@@ -270,12 +300,19 @@
     /// with the next connection.
     fn release(&mut self, call: CallId, cause: u8) {
         match self.best() {
-            Some(conn) => self.write(conn, bye(call, cause)),
+            Some(conn) => self.release_on(conn, call, cause),
             None if self.releases.len() < self.shared.limits.link_queue => self.releases.push((call, cause)),
             None => {}
         }
     }
 
+    fn release_on(&mut self, conn: u64, call: CallId, cause: u8) {
+        self.write(conn, bye(call, cause));
+        let (now, heard) = (self.now, self.shared.limits.heard.as_micros() as Time);
+        self.unheard.retain(|u| u.3 + heard > now);
+        self.unheard.push_back((call, cause, conn, now));
+    }
+
     /// The connection heard last.
     fn best(&self) -> Option<u64> {
         self.conns.iter().filter(|(_, c)| c.up).max_by_key(|(_, c)| c.heard).map(|(id, _)| *id)
@@ -285,15 +322,19 @@
     /// has gone dead or is about to be reset: what it does not answer stays open on it, so it gets no more. Guards
     /// set-ups against a further connection that a server with none left takes up only to close: each begins
     /// with the server's word, and is not used before.
-    fn least(&self) -> Option<(u64, usize)> {
+    ///
+    /// Not the one on which the call was refused a moment ago: a second copy of that would be taken for the answer.
+    fn least(&self, call: CallId) -> Option<(u64, usize)> {
         let now = self.now;
+        let refused = self.refused(call).map(|r| r.1);
         let mut open: BTreeMap<u64, usize> = BTreeMap::new();
         self.setups.values().for_each(|o| *open.entry(o.conn).or_default() += 1);
         let spoken = self.conns.values().any(|c| c.up && c.spoken);
         let lives = self
             .conns
             .iter()
-            .filter(|(_, c)| c.up && (c.spoken || !spoken) && !c.quiet(now, self.shared.limits.quiet));
+            .filter(|(_, c)| c.up && (c.spoken || !spoken) && !c.quiet(now, self.shared.limits.quiet))
+            .filter(|(id, _)| Some(**id) != refused);
         let open = |id: &u64| open.get(id).copied().unwrap_or(0);
         let least = lives.min_by_key(|(id, c)| (open(id), c.asked.is_some(), Reverse(c.heard)));
         least.map(|(id, _)| (*id, open(id)))
@@ -305,7 +346,32 @@
         self.draining = false;
         let connecting = self.conns.values().any(|c| !c.up);
         let full = self.conns.len() >= self.shared.limits.server_conns;
-        match self.least() {
+        match (self.least(setup.id), self.refused(setup.id)) {
+            // Guards against a call with two attempts out, as the copy would end this one before its time.
+            (None, Some((_, _, at))) => {
+                self.held.push_back((at + self.shared.limits.copy, setup));
+                Vec::new()
+            }
+            (least, _) => self.start_on(least, setup, connecting, full),
+        }
+    }
+
+    /// The call's latest refusal, while a second copy of it may come.
+    fn refused(&self, call: CallId) -> Option<(CallId, u64, Time)> {
+        let until = |r: &(CallId, u64, Time)| r.2 + self.shared.limits.copy;
+        let copies =
+            |r: &&(CallId, u64, Time)| r.0 == call && self.now < until(r) && self.conns.contains_key(&r.1);
+        self.refused.iter().rfind(copies).copied()
+    }
+
+    fn start_on(
+        &mut self,
+        least: Option<(u64, usize)>,
+        setup: Setup,
+        connecting: bool,
+        full: bool,
+    ) -> Vec<Input> {
+        match least {
             Some((id, open)) => {
                 if open > 0 && !full && !connecting && self.now >= self.more_at {
                     self.connect();
@@ -369,7 +435,8 @@
     }
 
     fn fail_queue(&mut self, outcome: Outcome) -> Vec<Input> {
-        let queue = std::mem::take(&mut self.queue);
+        let held = std::mem::take(&mut self.held).into_iter().map(|h| h.1);
+        let queue: Vec<Setup> = std::mem::take(&mut self.queue).into_iter().chain(held).collect();
         queue.into_iter().map(|s| self.ended(s.id, s.attempt, End::plain(outcome))).collect()
     }
 
@@ -386,7 +453,7 @@
                 self.lives();
                 self.retire(conn);
                 for (call, cause) in std::mem::take(&mut self.releases) {
-                    self.write(conn, bye(call, cause));
+                    self.release_on(conn, call, cause);
                 }
                 let queue = match self.draining {
                     true => return self.fail_queue(Outcome::NotSent),
@@ -406,7 +473,7 @@
                 let open = self.conns.values().any(|c| c.up);
                 // Unless these have gone dead: with calls standing there, a server has a word now and then. Guards
                 // their callers against a machine that is gone, but whose end no reset has told.
-                let dead = !open || looked && now >= self.word + self.shared.limits.gone;
+                let dead = !open || looked && now >= self.word + self.shared.limits.mute;
                 if refused && !dead {
                     self.lives();
                     self.spare();
@@ -481,6 +548,15 @@
             let opened = lost.filter(|c| c.up).map_or(self.now, |c| c.opened);
             self.connect_at = Some(self.now.max(opened + wait));
         }
+        // Guards a call that stands for nobody against a release which met a connection that was closed already.
+        let heard = self.shared.limits.heard.as_micros() as Time;
+        let (now, most) = (self.now, self.shared.limits.link_queue);
+        for (call, cause, ..) in self.unheard.iter().filter(|u| u.2 == conn && u.3 + heard > now) {
+            if self.releases.len() < most {
+                self.releases.push((*call, *cause));
+            }
+        }
+        self.unheard.retain(|u| u.2 != conn);
         let lost: Vec<CallId> =
             self.setups.iter().filter(|(_, o)| o.conn == conn).map(|(id, _)| *id).collect();
         let out = lost.into_iter().filter_map(|id| self.setups.remove(&id).map(|o| (id, o)));
@@ -509,6 +585,9 @@
             },
             Start::Response { status } => {
                 let status = *status;
+                if m.sequence().is_some_and(|(_, of)| of == "BYE") {
+                    self.unheard.retain(|u| Some(u.0) != m.call());
+                }
                 let Some((sequence, "INVITE")) = m.sequence() else { return Vec::new() };
                 let Some(call) = m.call().filter(|_| status >= 200) else { return Vec::new() };
                 self.answered(conn, call, sequence, status, m)
@@ -540,11 +619,16 @@
                 let (attempt, payload) = (o.attempt, m.body.into());
                 vec![Input::Stood { id: call, attempt, server: self.server, payload }]
             }
-            Some(o) => vec![self.ended(call, o.attempt, refusal(status, &m, self.shared.gives_wait))],
+            Some(o) => {
+                let (now, copy) = (self.now, self.shared.limits.copy);
+                self.refused.retain(|r| now < r.2 + copy);
+                self.refused.push_back((call, conn, now));
+                vec![self.ended(call, o.attempt, refusal(status, &m, self.shared.gives_wait))]
+            }
             // Guards against an answer that crossed its CANCEL: nobody waits for this call here. A second copy
             // of the answer that stands must not end it.
             None if status < 300 && !self.standing.contains(&call) => {
-                self.write(conn, bye(call, CAUSE_NORMAL));
+                self.release_on(conn, call, CAUSE_NORMAL);
                 Vec::new()
             }
             None => Vec::new(),
