--- a/proxy/src/isup/front.rs
+++ b/proxy/src/isup/front.rs
@@ -247,7 +247,7 @@
         loop {
             let mut next = seat.next(&mut messages, &self.limits).await;
             let (mut batch, mut held) = (Vec::new(), 0);
-            let end = loop {
+            let mut end = loop {
                 match next {
                     Next::Message(message) => {
                         held += message.length();
@@ -278,9 +278,9 @@
                     Read::Nothing => true,
                     Read::Twice => {
                         eprintln!("caller {source}: two set-ups under one id");
+                        end.get_or_insert(End::Spoilt);
                         let left = Input::Left(message.call, source);
-                        let _ = self.core.send(hub::Message::Input(left)).await;
-                        return End::Spoilt;
+                        self.core.send(hub::Message::Input(left)).await.is_ok()
                     }
                 };
                 if !taken {
--- a/proxy/tests/recorded.rs
+++ b/proxy/tests/recorded.rs
@@ -40,6 +40,39 @@
     }
 }
 
+/// A field that is missing, misspelt, of another kind or at odds with others is named in one line, and nothing is served.
+#[test]
+fn a_field_that_is_wrong_is_named() {
+    let good = include_str!("recorded/config.json").replace("SERVERS", "").replace("CHANNEL", "127.0.0.1:1");
+    for (from, to, line) in [
+        (r#""sockets":1024"#, r#""socket":1024"#, "limits.sockets is missing"),
+        (r#""memory_mb":192"#, r#""memory_mb":"192""#, "limits.memory_mb cannot be \"192\""),
+        (r#""listen":"127.0.0.1:0""#, r#""listen":"here""#, "listen cannot be \"here\""),
+        (r#""seed":"8c1f30d27a5be964""#, r#""seed":"8c1f30d27a5be96x""#, "seed cannot be"),
+        (r#""dial_timeout":500000"#, r#""dial_time_out":500000"#, "limits.dial_timeout is missing"),
+        (r#""max_open":20000"#, r#""max_open":0"#, "limits.max_open cannot be 0"),
+        (r#""try_limit":4"#, r#""try_limit":0"#, "limits.try_limit cannot be 0"),
+        (r#""goal_time":1200000"#, r#""goal_time":9000001"#, "goal_time of voice is over its hard_limit"),
+        (r#""zones":["z"]"#, r#""zones":[7]"#, "settings.zones holds what is no name"),
+        ("[[0,1,2,3]]", "[[0,1],[2,3]]", "allowed_pools has not one list for each profile"),
+        (
+            r#"{"fraction":1.0,"name":"acme"}"#,
+            r#"{"fraction":0.5,"name":"a"},{"fraction":0.5,"name":"a"}"#,
+            "names a twice",
+        ),
+        (r#""known":{"cursor":1"#, r#""known":{"cursor":0"#, "known.cursor is 0"),
+        (r#""known":{"cursor":1,"#, r#""known":{"#, "known.cursor is missing"),
+        (r#""cmds":"#, r#""commands":"#, "known.cmds is missing"),
+        (r#""release_guard":300000"#, r#""release_gard":300000"#, "specifics.release_guard is missing"),
+    ] {
+        assert!(good.contains(from), "{from}");
+        let mut program = Program::start("PROXY_CONFIG", &good.replacen(from, to, 1));
+        let said = program.says();
+        assert!(said.contains(line), "{said}");
+        assert_eq!(program.exit_code(), Some(1), "{said}");
+    }
+}
+
 /// The operator's files of this repository, but for their ports, which may be taken.
 #[test]
 fn the_files_in_the_repository_are_good() {
