Give a line back to a node's part when the caller of its attempt leaves

Leaving has to free the module's count, once. Read in src/choice.rs: every other end of an attempt gives its units back to `room`, the lines that this node may still take of a server's last free ones; Event::Left removed the call and the attempt and kept the units. Where under six in a hundred lines are free they came back only as the next part was handed out.

Now Left gives them back. A second Left and an end that is told later find no call and give nothing.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -287,10 +287,11 @@
                 self.ended(call, attempt, server, outcome, finished, (reason, wait), actions);
             }
             Event::Left(call) => {
-                if let Some(Call { phase: Phase::Out(server), .. }) = self.calls.remove(&call)
+                if let Some(Call { phase: Phase::Out(server), units, .. }) = self.calls.remove(&call)
                     && let Some(s) = self.servers.get_mut(&server)
                 {
                     s.out.remove(&call);
+                    s.room += units;
                 }
             }
             Event::Probed { server, report, .. } => self.report(server, report.as_ref()),
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -629,6 +629,30 @@
     assert_eq!(starts(&s.event(Event::Call(call(5, 0)))), [(5, 0)]);
 }
 
+/// A caller that leaves while its set-up is out frees the line that this node had counted for it, once. Guards a
+/// server's last lines against being left unused for as long as the next ones take to be handed out.
+#[test]
+fn a_line_of_a_call_whose_caller_left_is_free_again_once() {
+    let mut s = Script::new(Settings { nodes: 300, ..settings() }, 2);
+    for (server, free) in [(0, 4.0), (1, 90.0)] {
+        let report = Report { free: Some(free), lines: Some(100.0), ..Report::default() };
+        s.event(Event::Room(server, report));
+    }
+    s.pass(50 * MS);
+    assert_eq!(starts(&s.event(Event::Call(call(0, 0)))), [(0, 0)]);
+    s.event(Event::Left(0));
+    // Its end may still be told, and that it left as well: neither gives the line back again.
+    s.ended(0, 0, 0, Outcome::Cancelled);
+    s.event(Event::Left(0));
+    s.pass(25 * MS);
+    let mut sent = Vec::new();
+    for id in 1..4 {
+        sent.extend(starts(&s.event(Event::Call(call(id, 0)))));
+        sent.extend(starts(&s.pass(25 * MS)));
+    }
+    assert_eq!(sent, [(1, 0), (2, 1), (3, 1)]);
+}
+
 /// Of twenty calls with server 0 as first choice, those that go there after it fell silent and then told of its
 /// free lines. They come twice as far apart as those before, so that its window may hold them.
 fn sent_after_its_word(calls_apart: Time) -> usize {
