Lose no release, give-up or drain on its way to a server, and no answer as the program ends

A further read of the paths that end something, for the instant in which one side has acted and the other not.

- sip/state.rs: two answers that were read together, the first one without a description: the link closes the connection, and the second one's call has ended as reset.
Its BYE was written to the closed connection and forgotten, and the call stood for nobody.
It goes out on an open connection, or on the next.
- sip/state.rs: a release that had gone out on a connection which ends waited for the next connect, also where another connection was open: for minutes, where the server needs no further one.
It goes out at once.
And it was lost where this side closed the connection (retired as quiet, or to make room for a look).
- hub.rs: each link had a queue of 512 orders, and what did not fit was dropped, a give-up, a release and a drain as well: two attempts out, a call that stands for nobody, a set-up after the drain.
Set-ups alone are bounded now; of the others there are no more than calls.
The hub makes the queue.
- isup/front.rs: an answer that waited in the connection's queue went out after the caller's give-up had been read.
- isup/front.rs: a caller that said something in the moment in which the core had ended lost the answers that still waited in its connection's queue.
- limits.rs: everything was answered by 3.3 s after SIGTERM, whatever callers wait.
The platform kills after the longest deadline, 3 s at most, and 0.7 s: it is 0.4 s before that now, as it was for 3 s.
- log.rs: eprintln! panics where nobody reads the log any more, and the executor ends the task that did: the command channel was never followed again (test: no second connect).
Lines that cannot be written are dropped.
- A set-up that waited for a connection stated the wait of its start in X-Patience; it states what is left, and is not sent once that is over.

--- a/proxy/src/dns/link.rs
+++ b/proxy/src/dns/link.rs
@@ -6,7 +6,7 @@
 use crate::engine::{CAUSE_NORMAL, End, Input, Order, Payload, Setup};
 use crate::hub::{Backend, Message};
 use crate::limits::Limits;
-use crate::net::{messages, within, write_all};
+use crate::net::{messages, unix_now, within, write_all};
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
@@ -25,13 +25,11 @@
 }
 
 impl Backend for Rc<NameServers> {
-    fn open(&self, server: ServerId, addr: &str, core: Sender<Message>) -> Sender<Order> {
-        let (orders, to_do) = async_channel::bounded(self.limits.link_queue);
+    fn open(&self, server: ServerId, addr: &str, orders: Receiver<Order>, core: Sender<Message>) {
         match addr.parse() {
-            Ok(addr) => self.executor.spawn(run(self.clone(), server, addr, core, to_do)).detach(),
-            Err(_) => eprintln!("name server {server}: no address: {addr}"),
+            Ok(addr) => self.executor.spawn(run(self.clone(), server, addr, core, orders)).detach(),
+            Err(_) => crate::log!("name server {server}: no address: {addr}"),
         }
-        orders
     }
 }
 
@@ -82,8 +80,8 @@
     core: Sender<Message>,
     setup: Setup,
 ) {
-    let Setup { id, attempt, patience, payload, .. } = setup;
-    let limit = shared.limits.attempt.min(Duration::from_micros(patience));
+    let Setup { id, attempt, until, payload, .. } = setup;
+    let limit = shared.limits.attempt.min(Duration::from_micros(until.saturating_sub(unix_now())));
     let answer = within(limit, look_up(&shared.limits, addr, &payload)).await;
     match answer.unwrap_or(Err(Outcome::Timeout)) {
         Ok(payload) => {
--- a/proxy/src/engine.rs
+++ b/proxy/src/engine.rs
@@ -114,6 +114,13 @@
     Heard,
 }
 
+impl Reply {
+    /// Whether it is the one final answer to a set-up.
+    pub fn ends_a_set_up(&self) -> bool {
+        matches!(self, Reply::Stands(_) | Reply::Refused(_) | Reply::Failed)
+    }
+}
+
 /// A set-up on its way to a server.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -121,8 +128,8 @@
     pub attempt: u32,
     pub class: usize,
     pub number: String,
-    /// How long the engine will wait.
-    pub patience: Time,
+    /// Until when the engine will wait.
+    pub until: Time,
     pub payload: Payload,
 }
 
@@ -587,7 +594,7 @@
             attempt: n,
             class: call.class,
             number: call.number.clone(),
-            patience: *deadline - now,
+            until: *deadline,
             payload: call.payload.clone(),
         };
         out.push(Output::Order(server, Order::Start(setup)));
--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -35,7 +35,7 @@
 
 /// Opens the link to a server. One implementation per wire.
 pub trait Backend {
-    fn open(&self, server: ServerId, addr: &str, core: Sender<Message>) -> Sender<Order>;
+    fn open(&self, server: ServerId, addr: &str, orders: Receiver<Order>, core: Sender<Message>);
 }
 
 /// A caller's connection.
@@ -164,7 +164,8 @@
                 self.links.remove(&number);
             }
             if entry.state != State::Gone && !self.links.contains_key(&number) {
-                let orders = self.backend.open(number, &listed.addr, self.queue.clone());
+                let (orders, to_do) = async_channel::unbounded();
+                self.backend.open(number, &listed.addr, to_do, self.queue.clone());
                 self.links.insert(number, Link { addr: listed.addr, orders });
             }
             entries.push(entry);
@@ -191,7 +192,11 @@
                     }
                 }
                 Output::Order(server, order) => {
-                    let lost = match self.links.get(&server) {
+                    // Set-ups alone are bounded. What calls them off, a drain and a release have to get through, and
+                    // of these there are no more than calls.
+                    let starts = matches!(order, Order::Start(_));
+                    let takes = |l: &&Link| !starts || l.orders.len() < self.limits.link_queue;
+                    let lost = match self.links.get(&server).filter(takes) {
                         Some(link) => link.orders.try_send(order).err().map(|e| e.into_inner()),
                         None => Some(order),
                     };
@@ -204,7 +209,7 @@
                         todo.extend(more);
                     }
                 }
-                Output::Log(text) => eprintln!("{text}"),
+                Output::Log(text) => crate::log!("{text}"),
             }
         }
     }
@@ -233,3 +238,90 @@
         false
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::engine::Request;
+    use async_executor::LocalExecutor;
+    use std::cell::RefCell;
+    use std::rc::Rc;
+
+    /// Links that take no order until the test looks.
+    #[derive(Clone, Default)]
+    struct Stuck(Rc<RefCell<Vec<Receiver<Order>>>>);
+
+    impl Backend for Stuck {
+        fn open(&self, _: ServerId, _: &str, orders: Receiver<Order>, _: Sender<Message>) {
+            self.0.borrow_mut().push(orders);
+        }
+    }
+
+    fn listed(state: State) -> Vec<ListedServer> {
+        let entry = Entry { server: 0, zone: 0, place: 0, started: None, state };
+        vec![ListedServer { id: "s".to_owned(), addr: "127.0.0.1:1".to_owned(), entry }]
+    }
+
+    /// A link has taken nothing for so long that no further set-up fits. Guards the rules against a give-up, a release
+    /// or a drain that is dropped with them: a call would be out twice, stand for nobody, or go to a server that drains.
+    #[test]
+    fn what_ends_something_always_gets_through() {
+        let text = include_str!("../tests/recorded/config.json");
+        let text = text.replace("SERVERS", "").replace("CHANNEL", "127.0.0.1:1");
+        let config = crate::config::read(&text).expect("a good file");
+        let mut limits = Limits::new(256, 64 << 20, 20_000, Duration::from_millis(500), 9_000_000);
+        limits.link_queue = 1;
+        let engine = Engine::new(config.start.settings, 7, &limits);
+        let (queue, messages) = async_channel::unbounded();
+        let stuck = Stuck::default();
+        let core = Core::new(engine, stuck.clone(), limits, queue.clone());
+        let (replies, _answers) = async_channel::unbounded();
+        let call = |id: CallId| {
+            Message::Input(Input::Call(Request {
+                id,
+                source: 1,
+                at: unix_now(),
+                patience: 9_000_000,
+                class: 0,
+                tenant: Some(0),
+                number: format!("{id}"),
+                first_choice: Some(0),
+                units: 1.0,
+                redialled: false,
+                cut_before: false,
+                payload: b"desc"[..].into(),
+            }))
+        };
+        let executor = LocalExecutor::new();
+        let _core = executor.spawn(core.run(messages));
+        let orders = async_io::block_on(executor.run(async {
+            let tell = |message| queue.try_send(message).expect("the core is there");
+            tell(Message::List(ListKind::Saved, listed(State::Ready)));
+            tell(Message::Open(1, replies));
+            tell(call(10));
+            let orders = loop {
+                let first = stuck.0.borrow().first().cloned();
+                match first.filter(|o| !o.is_empty()) {
+                    Some(orders) => break orders,
+                    None => future::yield_now().await,
+                }
+            };
+            // The set-up is in the queue, which is full.
+            tell(Message::Input(Input::Left(10, 1)));
+            tell(call(11));
+            tell(Message::List(ListKind::Changes, listed(State::Draining)));
+            while !queue.is_empty() {
+                future::yield_now().await;
+            }
+            orders
+        }));
+        let orders: Vec<Order> = std::iter::from_fn(|| orders.try_recv().ok()).collect();
+        let of = |order: &Order| match order {
+            Order::Start(setup) => format!("start {}", setup.id),
+            Order::Cancel(id) => format!("cancel {id}"),
+            Order::Drain => "drain".to_owned(),
+            other => format!("{other:?}"),
+        };
+        assert_eq!(orders.iter().map(of).collect::<Vec<_>>(), ["start 10", "cancel 10", "drain"]);
+    }
+}
--- a/proxy/src/isup/front.rs
+++ b/proxy/src/isup/front.rs
@@ -254,9 +254,9 @@
                         batch.push(message);
                     }
                     Next::End => break Some(End::Gone),
-                    Next::Leave => break Some(End::Idle),
+                    Next::Leave => break Some(End::Ours),
                     Next::Failed(e) => {
-                        eprintln!("caller {source}: {e}");
+                        crate::log!("caller {source}: {e}");
                         break Some(if matches!(e, WireError::Io(_)) { End::Gone } else { End::Spoilt });
                     }
                 }
@@ -277,14 +277,15 @@
                     Read::Answer(answer) => own.send(answer).await.is_ok(),
                     Read::Nothing => true,
                     Read::Twice => {
-                        eprintln!("caller {source}: two set-ups under one id");
+                        crate::log!("caller {source}: two set-ups under one id");
                         end.get_or_insert(End::Spoilt);
                         let left = Input::Left(message.call, source);
                         self.core.send(hub::Message::Input(left)).await.is_ok()
                     }
                 };
+                // Guards the answers that still wait here as the core has ended.
                 if !taken {
-                    return End::Gone;
+                    return End::Ours;
                 }
             }
             if let Some(end) = end {
@@ -352,17 +353,27 @@
         loop {
             let reply = async { replies.recv().await.ok().map(|r| (Some(r), None)) };
             let answer = async { own.recv().await.ok().map(|m| (None, Some(m))) };
-            let (reply, answer) = future::or(reply, answer).await.unwrap_or_default();
+            let next = future::or(reply, answer).await;
+            let ended = next.is_none();
+            let (reply, answer) = next.unwrap_or_default();
             let mut bytes = Vec::new();
             for message in answer.into_iter().chain(std::iter::from_fn(|| own.try_recv().ok())) {
                 bytes.extend(message.encode(self.limits.message).unwrap_or_default());
             }
             for (call, reply) in reply.into_iter().chain(std::iter::from_fn(|| replies.try_recv().ok())) {
+                // Guards a caller that has given up against an answer all the same: the core has heard of it by now, or
+                // will next, and releases what stands.
+                if reply.ends_a_set_up() && !table.borrow().open.contains(&call) {
+                    continue;
+                }
                 bytes.extend(self.encode(call, &reply).unwrap_or_default());
                 hand.replies.borrow_mut().push((bytes.len(), call, reply));
             }
             if bytes.is_empty() && hand.replies.borrow().is_empty() {
-                return;
+                match ended {
+                    true => return,
+                    false => continue,
+                }
             }
             hand.written.set(0);
             let written = within(self.limits.write, hand.write(stream, &bytes)).await;
@@ -393,8 +404,8 @@
 enum End {
     /// The caller has left, it broke, or the core has dropped it: nothing goes out on it any more.
     Gone,
-    /// Closed by this side, with nothing open on it.
-    Idle,
+    /// Closed by this side, since nothing is open on it or the program ends. What is on its way to the caller leaves.
+    Ours,
     /// Nobody can read what comes on it.
     Spoilt,
 }
@@ -516,3 +527,142 @@
     })
     .await;
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Read as _;
+
+    /// One caller's connection, served by a front whose core the test plays: what happens between two looks of the
+    /// front happens in one moment.
+    struct Scene {
+        executor: Rc<LocalExecutor<'static>>,
+        core: Receiver<hub::Message>,
+        replies: Option<Sender<(CallId, Reply)>>,
+        caller: TcpStream,
+    }
+
+    /// How many turns settle what can happen without another word from outside.
+    const TURNS: usize = 200;
+
+    impl Scene {
+        fn new() -> Scene {
+            let (core, messages) = async_channel::unbounded();
+            let (open, _) = async_channel::bounded(1);
+            let limits = Limits::new(256, 64 << 20, 20_000, Duration::from_millis(500), 9_000_000);
+            let names = Names {
+                classes: vec!["voice".to_owned()],
+                patience: vec![9_000_000],
+                places: vec![None],
+                tenants: Vec::new(),
+                hold_off: None,
+            };
+            let front = Rc::new(Front { names, limits, core, _open: open });
+            let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a free port");
+            let at = listener.get_ref().local_addr().expect("bound");
+            let executor = Rc::new(LocalExecutor::new());
+            executor.spawn(listen(front, listener, executor.clone())).detach();
+            let caller = TcpStream::connect(at).expect("connected");
+            caller.set_read_timeout(Some(Duration::from_secs(10))).expect("a time-out");
+            let mut scene = Scene { executor, core: messages, replies: None, caller };
+            let hub::Message::Open(_, replies) = scene.hears() else { panic!("a connection opens") };
+            scene.replies = Some(replies);
+            scene
+        }
+
+        /// What the core is told next.
+        fn hears(&self) -> hub::Message {
+            async_io::block_on(self.executor.run(async { self.core.recv().await.expect("a front") }))
+        }
+
+        /// Lets the front do what it can.
+        fn settle(&self) {
+            async_io::block_on(self.executor.run(async {
+                for _ in 0..TURNS {
+                    future::yield_now().await;
+                }
+            }));
+        }
+
+        fn says(&mut self, message: Message) {
+            use std::io::Write as _;
+            let bytes = message.encode(16_384).expect("short enough");
+            self.caller.write_all(&bytes).expect("sent");
+        }
+
+        fn sets_up(&mut self, call: CallId) {
+            let setup = Message::new(SETUP, call);
+            self.says(
+                setup
+                    .with(CLASS, b"voice")
+                    .with(NUMBER, b"555")
+                    .with(FIGURES, b"dest:0")
+                    .with(DESCRIPTION, b"desc"),
+            );
+            assert!(matches!(self.hears(), hub::Message::Input(Input::Call(r)) if r.id == call));
+        }
+
+        /// The core's answer, put into the connection's queue.
+        fn answers(&self, call: CallId, reply: Reply) {
+            self.replies.as_ref().expect("open").try_send((call, reply)).expect("room");
+        }
+
+        /// Everything that came until the front closed the connection.
+        fn read(mut self) -> Vec<u8> {
+            self.settle();
+            let mut bytes = Vec::new();
+            let executor = self.executor.clone();
+            let reader = std::thread::spawn(move || {
+                self.caller.read_to_end(&mut bytes).expect("it closes, and in order");
+                bytes
+            });
+            async_io::block_on(executor.run(async {
+                while !reader.is_finished() {
+                    async_io::Timer::after(Duration::from_millis(1)).await;
+                }
+            }));
+            reader.join().expect("no panic")
+        }
+    }
+
+    fn stands() -> Reply {
+        Reply::Stands(b"back"[..].into())
+    }
+
+    fn answer(call: CallId) -> Vec<u8> {
+        Message::new(ANSWER, call).with(DESCRIPTION, b"back").encode(16_384).expect("short enough")
+    }
+
+    /// A give-up is read while the answer waits in the connection's queue. Guards a caller against an answer after its
+    /// give-up, which the program had in hand; other answers go out, and the core hears that the caller left.
+    #[test]
+    fn no_answer_goes_out_after_a_give_up_was_read() {
+        let mut scene = Scene::new();
+        scene.sets_up(10);
+        scene.sets_up(11);
+        for call in [10, 11] {
+            scene.answers(call, stands());
+        }
+        scene.says(Message::new(RELEASE, 10).with(CAUSE, &[16]));
+        assert!(matches!(scene.hears(), hub::Message::Input(Input::Left(10, _))));
+        scene.settle();
+        // The connection goes on.
+        scene.sets_up(12);
+        scene.answers(12, stands());
+        scene.replies = None;
+        assert_eq!(scene.read(), [answer(11), answer(12)].concat());
+    }
+
+    /// The program ends with an answer in a connection's queue, and in that moment the caller says something more.
+    /// Guards the answer: the queue leaves before the socket does.
+    #[test]
+    fn what_waits_as_the_core_ends_goes_out() {
+        let mut scene = Scene::new();
+        scene.sets_up(10);
+        scene.answers(10, stands());
+        scene.replies = None;
+        scene.core.close();
+        scene.says(Message::new(RELEASE, 99).with(CAUSE, &[16]));
+        assert_eq!(scene.read(), answer(10));
+    }
+}
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod hub;
 pub mod isup;
 pub mod limits;
+pub mod log;
 pub mod net;
 pub mod operator;
 pub mod sip;
@@ -55,7 +56,8 @@
     let mut reload = None;
     if let Some((path, text)) = file_of("PROXY_CONFIG")? {
         let config = config::read(&text).map_err(|e| format!("{path}: {e}"))?;
-        let limits = Limits::new(config.sockets, config.memory, config.open_calls, config.connect);
+        let longest = config.start.settings.classes.iter().map(|c| c.limit).max().unwrap_or_default();
+        let limits = Limits::new(config.sockets, config.memory, config.open_calls, config.connect, longest);
         flush = limits.flush;
         let (channels, moves) = async_channel::bounded(1);
         serving.push(platform(config, limits, moves, &executor).await?);
@@ -110,10 +112,10 @@
     let text = std::fs::read_to_string(path).map_err(|e| e.to_string());
     match text.and_then(|text| config::read(&text)) {
         Ok(config) => {
-            eprintln!("{path}: read again, the command channel is at {}", config.channel);
+            crate::log!("{path}: read again, the command channel is at {}", config.channel);
             let _ = channels.force_send(config.channel);
         }
-        Err(e) => eprintln!("{path}: {e}; the configuration stays as it is"),
+        Err(e) => crate::log!("{path}: {e}; the configuration stays as it is"),
     }
 }
 
@@ -158,7 +160,7 @@
     };
     executor.spawn(feed.run()).detach();
     let listener = listen(config.listen)?;
-    eprintln!("{}: serving on {}", config.name, local(&listener)?);
+    crate::log!("{}: serving on {}", config.name, local(&listener)?);
     let (open, ended) = async_channel::bounded(1);
     let front = isup::front::Front { names, limits, core: queue.clone(), _open: open };
     let front = vec![executor.spawn(isup::front::listen(Rc::new(front), listener, executor.clone()))];
@@ -188,7 +190,7 @@
     let listener = listen(operator.listen)?;
     let at = local(&listener)?;
     let socket = Async::<UdpSocket>::bind(at).map_err(|e| format!("cannot listen on {at}: {e}"))?;
-    eprintln!("ENUM: serving on {at}");
+    crate::log!("ENUM: serving on {at}");
     let patience = operator.patience.as_micros() as u64;
     let (open, ended) = async_channel::bounded(1);
     let enumerator = dns::front::Front::new(operator.zone, patience, limits, queue.clone(), open);
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -93,7 +93,7 @@
     pub undelivered: usize,
     /// New work is still taken this long after SIGTERM.
     pub grace: Time,
-    /// After SIGTERM everything is answered by then.
+    /// After SIGTERM everything is answered by then, before the platform kills.
     pub stop: Time,
     /// How often it is looked whether all is answered, after the grace.
     pub look: Time,
@@ -104,9 +104,13 @@
 }
 
 impl Limits {
-    /// From the figures that are given: descriptors, bytes of memory, open calls and the longest wait for a
-    /// connection.
-    pub fn new(sockets: usize, memory: usize, open_calls: usize, connect: Duration) -> Self {
+    /// From the figures that are given: descriptors, bytes of memory, open calls, the longest wait for a connection
+    /// and the longest that a caller of any class waits.
+    pub fn new(sockets: usize, memory: usize, open_calls: usize, connect: Duration, longest: Time) -> Self {
+        let grace = 700_000;
+        // The platform waits for the longest deadline, 3 s at most, beyond the grace before it kills; the answers need a
+        // little of that to leave.
+        let stop = (longest.min(3_000_000) + grace).saturating_sub(400_000).max(grace);
         Limits {
             message: 16 * 1024,
             read: 16 * 1024,
@@ -150,11 +154,33 @@
             remembered: (memory >> 12).clamp(1_000, 50_000),
             heard: Duration::from_millis(500),
             undelivered: (memory >> 13).clamp(1_000, 10_000),
-            grace: 700_000,
-            stop: 3_300_000,
+            grace,
+            stop,
             look: 10_000,
             flush: Duration::from_millis(250),
             pause: Duration::from_millis(20),
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The platform kills once the longest deadline, or 3 s where that is longer, and 0.7 s more have passed since
+    /// SIGTERM. Guards deployments whose callers wait for less than 3 s: all was answered by 3.3 s, whatever they wait.
+    #[test]
+    fn all_is_answered_before_the_platform_kills() {
+        for longest in [200_000, 1_000_000, 1_800_000, 3_000_000, 9_000_000] {
+            let limits = Limits::new(256, 64 << 20, 20_000, Duration::from_millis(500), longest);
+            let kill = longest.min(3_000_000) + 700_000;
+            let flushed = limits.stop + 2 * limits.look + limits.flush.as_micros() as Time;
+            assert!(flushed <= kill.max(990_000), "{longest}: {flushed}");
+            assert!(
+                limits.stop >= limits.grace && limits.stop + 400_000 >= kill,
+                "{longest}: {}",
+                limits.stop
+            );
+        }
+    }
+}
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -10,7 +10,7 @@
     match async_io::block_on(executor.run(fernspan::start(executor.clone()))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("fernspan: {message}");
+            fernspan::log!("fernspan: {message}");
             ExitCode::FAILURE
         }
     }
--- a/proxy/src/net.rs
+++ b/proxy/src/net.rs
@@ -236,7 +236,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
-                eprintln!("accept: {e}");
+                crate::log!("accept: {e}");
                 Timer::after(limits.pause).await;
                 continue;
             }
@@ -263,7 +263,7 @@
     /// A seat that is asked for in the moment in which a set-up comes on its connection: the answer is owed there.
     #[test]
     fn a_connection_on_which_something_is_owed_is_not_left() {
-        let limits = Limits::new(256, 64 << 20, 20_000, Duration::from_millis(500));
+        let limits = Limits::new(256, 64 << 20, 20_000, Duration::from_millis(500), 9_000_000);
         let mut messages = Box::pin(stream::once(Ok(7)).chain(stream::pending()));
         async_io::block_on(async {
             let seat = Rc::new(Seat::new());
--- a/proxy/src/operator.rs
+++ b/proxy/src/operator.rs
@@ -37,7 +37,8 @@
 impl Operator {
     /// The program's limits, with what the file says of them.
     pub fn limits(&self) -> Limits {
-        let limits = Limits::new(SOCKETS, MEMORY, self.open, self.cluster.connect_timeout);
+        let longest = self.patience.as_micros() as u64;
+        let limits = Limits::new(SOCKETS, MEMORY, self.open, self.cluster.connect_timeout, longest);
         Limits { attempt: self.attempt, out_per_server: self.most_out, ..limits }
     }
 }
@@ -124,7 +125,7 @@
                     return;
                 }
             }
-            Err(e) => eprintln!("{}: {e}; the name servers stay as they are", path.display()),
+            Err(e) => crate::log!("{}: {e}; the name servers stay as they are", path.display()),
         }
         text = now;
     }
--- a/proxy/src/sip/link.rs
+++ b/proxy/src/sip/link.rs
@@ -25,12 +25,11 @@
 }
 
 impl Backend for Setups {
-    fn open(&self, server: ServerId, addr: &str, core: Sender<hub::Message>) -> Sender<Order> {
+    fn open(&self, server: ServerId, addr: &str, orders: Receiver<Order>, core: Sender<hub::Message>) {
         let limits = &self.shared.limits;
-        let (orders, to_do) = async_channel::bounded(limits.link_queue);
         let Ok(addr) = addr.parse() else {
-            eprintln!("server {server}: no address: {addr}");
-            return orders;
+            crate::log!("server {server}: no address: {addr}");
+            return;
         };
         let (tell, told) = async_channel::bounded(limits.link_queue);
         let draw = || getrandom::u32().map_or(0.5, |r| f64::from(r) / f64::from(u32::MAX));
@@ -43,8 +42,7 @@
             tell,
             conns: BTreeMap::new(),
         };
-        self.executor.spawn(host.run(to_do, told)).detach();
-        orders
+        self.executor.spawn(host.run(orders, told)).detach();
     }
 }
 
@@ -163,7 +161,7 @@
                 }
             }
             Err(e) => {
-                eprintln!("server connection: {e}");
+                crate::log!("server connection: {e}");
                 return;
             }
         }
--- a/proxy/src/sip/state.rs
+++ b/proxy/src/sip/state.rs
@@ -395,8 +395,10 @@
 
     fn send(&mut self, conn: u64, setup: Setup) -> Vec<Input> {
         let class = self.shared.classes.get(setup.class).map_or("", String::as_str);
-        let bytes = invite(&setup, class);
-        if bytes.len() > self.shared.limits.message || !self.conns.contains_key(&conn) {
+        let bytes = invite(&setup, class, self.now);
+        // Nothing is sent on for a caller that waits no more: its set-up may have waited here for a connection.
+        let late = self.now >= setup.until;
+        if late || bytes.len() > self.shared.limits.message || !self.conns.contains_key(&conn) {
             return vec![self.ended(setup.id, setup.attempt, End::plain(Outcome::NotSent))];
         }
         self.todo.push(Do::Write(conn, bytes, Some(setup.id)));
@@ -426,6 +428,16 @@
     fn close(&mut self, conn: u64) -> Option<Conn> {
         let closed = self.conns.remove(&conn)?;
         self.todo.push(Do::Close(conn));
+        // Guards a call that stands for nobody against a release which met a connection that was closed already,
+        // whichever side has closed it.
+        let heard = self.shared.limits.heard.as_micros() as Time;
+        let here: VecDeque<_>;
+        (here, self.unheard) = std::mem::take(&mut self.unheard).into_iter().partition(|u| u.2 == conn);
+        for (call, cause, _, at) in here {
+            if at + heard > self.now {
+                self.release(call, cause);
+            }
+        }
         Some(closed)
     }
 
@@ -548,15 +560,6 @@
             let opened = lost.filter(|c| c.up).map_or(self.now, |c| c.opened);
             self.connect_at = Some(self.now.max(opened + wait));
         }
-        // Guards a call that stands for nobody against a release which met a connection that was closed already.
-        let heard = self.shared.limits.heard.as_micros() as Time;
-        let (now, most) = (self.now, self.shared.limits.link_queue);
-        for (call, cause, ..) in self.unheard.iter().filter(|u| u.2 == conn && u.3 + heard > now) {
-            if self.releases.len() < most {
-                self.releases.push((*call, *cause));
-            }
-        }
-        self.unheard.retain(|u| u.2 != conn);
         let lost: Vec<CallId> =
             self.setups.iter().filter(|(_, o)| o.conn == conn).map(|(id, _)| *id).collect();
         let out = lost.into_iter().filter_map(|id| self.setups.remove(&id).map(|o| (id, o)));
@@ -605,7 +608,7 @@
         // Guards the caller against a description that is noise, and the other set-ups against the connection,
         // which can't be trusted any more. The call may stand there, so it is released.
         if known && status < 300 && !m.describes() {
-            eprintln!("server {}: an answer without a description", self.server);
+            crate::log!("server {}: an answer without a description", self.server);
             let inputs = self.lose(conn);
             self.release(call, CAUSE_NORMAL);
             return inputs;
@@ -627,8 +630,11 @@
             }
             // Guards against an answer that crossed its CANCEL: nobody waits for this call here. A second copy
             // of the answer that stands must not end it.
+            //
+            // On whichever connection is open: this one may have been closed by this side, as another answer on it
+            // could not be read.
             None if status < 300 && !self.standing.contains(&call) => {
-                self.release_on(conn, call, CAUSE_NORMAL);
+                self.release(call, CAUSE_NORMAL);
                 Vec::new()
             }
             None => Vec::new(),
--- a/proxy/tests/endings/mod.rs
+++ b/proxy/tests/endings/mod.rs
@@ -1,6 +1,6 @@
 //! Ends that cross something, against the program on real sockets: what is still owed at them is done.
 
-use crate::play::{PATIENCE, Program};
+use crate::play::{PATIENCE, Program, accept};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Command;
@@ -16,7 +16,7 @@
     let text =
         include_str!("../recorded/config.json").replace("SERVERS", &listed).replace("CHANNEL", "127.0.0.1:1");
     let program = Program::start("PROXY_CONFIG", &text);
-    let (link, _) = server.accept().expect("the program connects");
+    let link = accept(&server).expect("the program connects");
     link.set_read_timeout(Some(PATIENCE)).expect("a time-out");
     (program, link, server)
 }
@@ -149,7 +149,7 @@
         until(&mut link, "desc");
         link.write_all(&answer.as_bytes()[..cut]).expect("sent");
         drop(link);
-        let (mut link, _) = server.accept().expect("the program connects again");
+        let mut link = accept(&server).expect("the program connects again");
         link.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         until(&mut link, "desc");
         link.write_all(answer.as_bytes()).expect("sent");
@@ -161,3 +161,19 @@
         assert!(caller.read(&mut stands).is_err(), "{cut}: a second answer");
     }
 }
+
+/// Nobody reads the log any more. Guards the command channel, which says there why it broke, and all that logs a line:
+/// `eprintln!` ended the task that did, so that no drain was ever heard of again.
+#[test]
+fn a_log_that_nobody_reads_ends_nothing() {
+    let channel = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let at = channel.local_addr().expect("bound").to_string();
+    let text = include_str!("../recorded/config.json").replace("SERVERS", "").replace("CHANNEL", &at);
+    let (_program, _) = Program::start_unheard("PROXY_CONFIG", &text);
+    for _ in 0..3 {
+        let mut follows = accept(&channel).expect("the program connects");
+        follows.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        until(&mut follows, "resume 1\n");
+        follows.write_all(b"no event\n").expect("sent");
+    }
+}
--- a/proxy/tests/link.rs
+++ b/proxy/tests/link.rs
@@ -1,11 +1,12 @@
 //! The rules of a link to a server that is lost with its site: when it connects, and when calls that stand there are
 //! taken to be gone. By hand, without sockets.
 
-use fernspan::engine::{Input, Order, Setup};
+use fernspan::engine::{End, Input, Order, Setup};
 use fernspan::limits::Limits;
 use fernspan::net::Decode;
 use fernspan::sip::state::{Do, Link, Shared, Told};
 use fernspan::sip::{Decoder, Message};
+use fernspan_core::Outcome;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,7 +17,7 @@
 }
 
 fn again(id: u64, attempt: u32) -> Setup {
-    Setup { id, attempt, class: 0, number: "n".to_owned(), patience: 3 * S, payload: b"v=0"[..].into() }
+    Setup { id, attempt, class: 0, number: "n".to_owned(), until: 200 * S, payload: b"v=0"[..].into() }
 }
 
 struct Host {
@@ -31,7 +32,7 @@
 impl Host {
     /// A link whose first connection is up, has told its state, and has a call that stands.
     fn new() -> Host {
-        let limits = Limits::new(256, 64 << 20, 20_000, Duration::from_millis(500));
+        let limits = Limits::new(256, 64 << 20, 20_000, Duration::from_millis(500), 9_000_000);
         let shared = Shared { classes: vec!["voice".to_owned()], gives_wait: true, limits };
         let link = Link::new(Rc::new(shared), 3, 100 * S, Box::new(|| 0.5));
         let mut host = Host { link, now: 100 * S, connects: Vec::new(), wrote: String::new() };
@@ -291,3 +292,103 @@
     let ends = host.link.end();
     assert!(matches!(ends[..], [Input::Ended { id: 10, attempt: 1, .. }]), "{ends:?}");
 }
+
+fn stood(call: u64, description: &str) -> String {
+    let length = description.len();
+    format!(
+        "SIP/2.0 200 OK\r\nCall-ID: {call:016x}\r\nCSeq: 1 INVITE\r\nContent-Length: {length}\r\n\r\n{description}"
+    )
+}
+
+fn bye(call: u64) -> String {
+    format!("BYE sip:unknown@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {call:016x}\r\n")
+}
+
+/// Two answers are read together on one connection, the first without a description: the link closes it, and the
+/// other call has ended as reset by then. Its answer says that it stands at the server, where nobody else would ever
+/// release it: its BYE met the closed connection and was lost.
+#[test]
+fn an_answer_behind_one_that_cannot_be_used_is_released() {
+    let mut host = Host::new();
+    let first = host.connects[0].0;
+    for call in [8, 9] {
+        host.link.order(host.now, Order::Start(setup(call)));
+        host.done();
+    }
+    let ends = host.link.told(host.now, first, Told::Message(decoded(&stood(8, ""))));
+    assert!(matches!(ends[..], [Input::Ended { .. }, Input::Ended { .. }]), "{ends:?}");
+    host.done();
+    assert!(host.link.told(host.now, first, Told::Message(decoded(&stood(9, "v=0")))).is_empty());
+    host.done();
+    host.wrote.clear();
+    host.pass(S);
+    host.told(Told::Up);
+    for call in [8, 9] {
+        assert_eq!(host.wrote.matches(&bye(call)).count(), 1, "{}", host.wrote);
+    }
+}
+
+/// A release that went out on a connection which ends goes out again at once where another is open, and does not wait
+/// for the next one: the server may need none for minutes.
+#[test]
+fn a_release_that_met_a_close_goes_out_again_at_once() {
+    let mut host = Host::new();
+    let first = host.connects[0].0;
+    for call in [8, 9] {
+        host.link.order(host.now, Order::Start(setup(call)));
+        host.done();
+    }
+    host.now += S / 100;
+    host.told(Told::Up);
+    host.now += S / 100;
+    host.link.told(host.now, first, Told::Message(decoded(&notify(60, 100))));
+    host.link.order(host.now, Order::Release(7, 16));
+    host.done();
+    assert_eq!(host.wrote.matches(&bye(7)).count(), 1, "{}", host.wrote);
+    host.wrote.clear();
+    host.link.told(host.now + S / 100, first, Told::Closed);
+    host.done();
+    assert_eq!(host.wrote.matches(&bye(7)).count(), 1, "{}", host.wrote);
+}
+
+/// The same where this side closes the connection, as it has gone quiet.
+#[test]
+fn a_release_on_a_connection_that_is_retired_goes_out_again() {
+    let mut host = Host::new();
+    host.link.order(host.now, Order::Start(setup(8)));
+    host.link.order(host.now, Order::Cancel(8));
+    host.now += S;
+    host.link.order(host.now, Order::Release(7, 16));
+    host.link.order(host.now, Order::Start(setup(9)));
+    host.done();
+    assert_eq!(host.connects.len(), 2, "the first has said nothing since the set-up");
+    host.wrote.clear();
+    host.now += S / 10;
+    host.told(Told::Up);
+    assert_eq!(host.wrote.matches(&bye(7)).count(), 1, "{}", host.wrote);
+}
+
+/// A set-up that waited for a connection says how long it will still be waited for, and is not sent once that is over.
+#[test]
+fn a_set_up_that_waited_states_what_is_left() {
+    let mut host = Host::new();
+    host.link.order(host.now, Order::Release(7, 16));
+    let conn = host.connects[0].0;
+    host.link.told(host.now, conn, Told::Closed);
+    let mut said = Vec::new();
+    for (call, patience) in [(8, 3 * S), (9, S)] {
+        let until = host.now + patience;
+        said.extend(host.link.order(host.now, Order::Start(Setup { until, ..setup(call) })));
+    }
+    assert!(said.is_empty(), "{said:?}");
+    host.done();
+    host.wrote.clear();
+    host.now += S + S / 2;
+    host.pass(0);
+    let said = host.told(Told::Up);
+    let unsent =
+        |i: &Input| matches!(i, Input::Ended { id: 9, end: End { outcome: Outcome::NotSent, .. }, .. });
+    assert!(matches!(&said[..], [i] if unsent(i)), "{said:?}");
+    assert!(host.wrote.contains("X-Patience: 1500\r\n"), "{}", host.wrote);
+    assert_eq!(host.wrote.matches("INVITE sip").count(), 1, "{}", host.wrote);
+}
--- a/proxy/tests/play/mod.rs
+++ b/proxy/tests/play/mod.rs
@@ -25,6 +25,11 @@
 impl Program {
     /// Starts it with a file named by `variable`.
     pub fn start(variable: &str, text: &str) -> Program {
+        Program::read_until(variable, text, None)
+    }
+
+    /// The same; its log is closed at the test's end after the line that holds `last`.
+    fn read_until(variable: &str, text: &str, last: Option<&'static str>) -> Program {
         static COUNT: AtomicU32 = AtomicU32::new(0);
         let number = COUNT.fetch_add(1, Ordering::Relaxed);
         let at = std::env::temp_dir().join(format!("fernspan-{}-{number}.json", std::process::id()));
@@ -38,10 +43,25 @@
             .expect("the program starts");
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
         let (tell, log) = channel();
-        std::thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| tell.send(l)));
+        std::thread::spawn(move || {
+            for line in stderr.lines().map_while(Result::ok) {
+                let ends = last.is_some_and(|last| line.contains(last));
+                if tell.send(line).is_err() || ends {
+                    return;
+                }
+            }
+        });
         Program { child, file: at, log }
     }
 
+    /// Starts it; once it serves, nobody reads its log any more. Gives the address that it serves on as well.
+    pub fn start_unheard(variable: &str, text: &str) -> (Program, SocketAddr) {
+        let program = Program::read_until(variable, text, Some("serving on "));
+        let at = program.address();
+        assert!(program.log.recv().is_err(), "the reader has ended, and its end of the pipe is closed");
+        (program, at)
+    }
+
     /// Waits for the address that it serves on.
     pub fn address(&self) -> SocketAddr {
         loop {
@@ -634,7 +654,7 @@
     TcpListener::bind("127.0.0.1:0").expect("a free port")
 }
 
-fn accept(listener: &TcpListener) -> Result<TcpStream, String> {
+pub fn accept(listener: &TcpListener) -> Result<TcpStream, String> {
     listener.set_nonblocking(true).map_err(|e| e.to_string())?;
     let end = Instant::now() + PATIENCE;
     loop {
--- a/rig/src/wire.rs
+++ b/rig/src/wire.rs
@@ -216,10 +216,10 @@
             attempt: 1,
             class: 0,
             number: "7f3a".to_owned(),
-            patience: 2_500_000,
+            until: 102_500_000,
             payload: Rc::from(&b"v=0\r\n"[..]),
         };
-        let mut bytes = sip::invite(&setup, CLASS);
+        let mut bytes = sip::invite(&setup, CLASS, 100_000_000);
         let invite = bytes.len();
         bytes.extend(sip::follow_up("CANCEL", "7f3a", 0xab, 2, ""));
         for end in 0..invite {
