Drop nothing that ends a call for want of room, and turn down misspelt optional fields and figures that cannot be

Read for what is lost where much happens in one moment, and as the core ends; each with a test that was seen failing with the change alone taken back.

- The queue of replies to a caller's connection took 256; what came beyond closed that connection, with the set-ups open on it.
All calls of a server that dies are released in one moment, those whose own connection has gone to one connection.
Final answers and releases always go in now, as there are no more than calls; a caller that asks for other words without end and reads none still loses its connection at 256.
- The queue of bytes to a server's connection took 512, and so did the list of releases that wait for one: a CANCEL or BYE beyond was forgotten.
Set-ups alone are bounded.
- A BYE that a link read as the core had ended got its 200 though no caller would hear of it.
Nothing is written then, and the server says it again on its next connection.
- config.rs: limits of 0, shares over 1, negative worths, a registry_mode or an address that is none, cursors that do not rise are turned down.
A field that a deployment may do without (parties, zones, allowed_pools, ...) is missed where it is not there and an unknown one is spelt nearly like it; other unknown fields are skipped as before. strsim, which the lock file had already, measures that.

--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -1,6 +1,7 @@
 //! What the platform tells a proxy at its start.
 
 use crate::feed::{self, ListEvent};
+use fernspan_core::State;
 use fernspan_settings::json::{self, Value, need};
 use fernspan_settings::{Start, from_value};
 use std::net::SocketAddr;
@@ -43,6 +44,7 @@
 pub fn read(text: &str) -> Result<Config, String> {
     let v = json::parse(text)?;
     let settings = need(&v, "settings", Some)?;
+    misspelt(settings)?;
     let zones = json::maybe(settings, "zones", json::array)?.unwrap_or_default();
     let zones: Option<Vec<String>> = zones.iter().map(json::word).collect();
     let zones = zones.ok_or("field config: settings.zones holds what is no name")?;
@@ -69,6 +71,38 @@
     Ok(config)
 }
 
+/// Fields that may be missing: the object that holds them, and their names. Any other that is read has to be there.
+const OPTIONAL: [(&str, &[&str]); 4] = [
+    ("", &["zones", "parties", "report", "specifics"]),
+    ("limits", &["max_retry_after"]),
+    ("report", &["columns"]),
+    ("specifics", &["allowed_pools", "gives_wait", "repeat", "self_no"]),
+];
+/// Fields of the page that are like one of these, and that nothing here reads.
+const OTHERS: [&str; 1] = ["zone"];
+/// Letters that are wrong, missing or too many in a name that was meant to be another, at most.
+const SLIPS: usize = 2;
+
+/// Names a field that is unknown where one like it is missing: new fields may come and are skipped, but a misspelt one
+/// would be taken for one that the deployment does without.
+fn misspelt(settings: &Value) -> Result<(), String> {
+    for (path, names) in OPTIONAL {
+        let object = if path.is_empty() { Some(settings) } else { json::get(settings, path) };
+        let Some(Value::Object(fields)) = object else { continue };
+        for name in names.iter().filter(|name| !fields.contains_key(**name)) {
+            let like = |key: &&String| {
+                let known = names.contains(&key.as_str()) || OTHERS.contains(&key.as_str());
+                !known && strsim::osa_distance(key, name) <= SLIPS
+            };
+            if let Some(key) = fields.keys().find(like) {
+                let dot = if path.is_empty() { "" } else { "." };
+                return Err(format!("field config: settings.{path}{dot}{key} is unknown; {name} is missing"));
+            }
+        }
+    }
+    Ok(())
+}
+
 /// Names what cannot all be meant. Guards against a proxy that starts and serves a class, or a tenant, as another.
 fn contradictions(config: &Config, settings: &Value) -> Result<(), String> {
     let twice = |path: &str, names: &[String]| {
@@ -93,15 +127,51 @@
             ));
         }
     }
-    for (field, value) in [
-        ("balancers", config.start.settings.nodes),
-        ("limits.try_limit", config.start.settings.attempt_limit),
-        ("limits.max_open", u32::try_from(config.open_calls).unwrap_or(u32::MAX)),
-    ] {
-        if value == 0 {
-            return Err(format!("field config: settings.{field} cannot be 0"));
+    let s = &config.start.settings;
+    let (classes, tenants) = (&s.classes, &s.tenants);
+    let none = |field: &str, any: bool| match any {
+        true => Err(format!("field config: {field} cannot be 0")),
+        false => Ok(()),
+    };
+    none("settings.balancers", s.nodes == 0)?;
+    none("settings.limits.try_limit", s.attempt_limit == 0)?;
+    none("settings.limits.max_open", config.open_calls == 0)?;
+    none("settings.limits.dial_timeout", config.connect.is_zero())?;
+    none("settings.profiles: hard_limit", classes.iter().any(|c| c.limit == 0))?;
+    none("settings.contract.fall_multiple", s.fall_multiple == 0.0)?;
+    none("limits.sockets", config.sockets == 0)?;
+    none("limits.memory_mb", config.memory == 0)?;
+    let share = |field: &str, value: f64| match (0.0..=1.0).contains(&value) {
+        true => Ok(()),
+        false => Err(format!("field config: settings.{field} cannot be {value}")),
+    };
+    share("over_share_worth", s.over_share_worth)?;
+    share("contract.start_capacity", s.start_capacity)?;
+    classes.iter().try_for_each(|c| share("profiles: late_worth", c.late_worth))?;
+    tenants.iter().try_for_each(|t| share("parties: fraction", t.share))?;
+    let below = [("contract.fall_multiple", s.fall_multiple)].into_iter();
+    let worths = classes.iter().map(|c| ("profiles: credit", c.worth));
+    if let Some((field, value)) = below.chain(worths).find(|f| f.1 < 0.0) {
+        return Err(format!("field config: settings.{field} cannot be {value}"));
+    }
+    let mode = need(settings, "registry_mode", json::text)?;
+    if !["automatic", "subscribe"].contains(&mode) {
+        return Err(format!("field config: settings.registry_mode cannot be {mode:?}"));
+    }
+    for server in config.known.iter().flat_map(|e| &e.servers) {
+        if server.entry.state != State::Gone && server.addr.parse::<SocketAddr>().is_err() {
+            return Err(format!(
+                "field config: known.cmds: addr of {} cannot be {:?}",
+                server.id, server.addr
+            ));
         }
     }
+    if let Some(pair) = config.known.windows(2).find(|pair| pair[0].cursor >= pair[1].cursor) {
+        return Err(format!(
+            "field config: known.cmds: cursor {} follows {}",
+            pair[1].cursor, pair[0].cursor
+        ));
+    }
     let last = config.known.last().map_or(0, |e| e.cursor);
     if last > config.cursor {
         return Err(format!(
--- a/proxy/src/dns/front.rs
+++ b/proxy/src/dns/front.rs
@@ -103,7 +103,7 @@
 
     /// Serves all queries over UDP.
     pub async fn datagrams(self: Rc<Self>, socket: Async<UdpSocket>) {
-        let (replies, to_send) = async_channel::bounded(self.limits.core_queue);
+        let (replies, to_send) = async_channel::unbounded();
         if self.core.send(Message::Open(DATAGRAMS, replies)).await.is_err() {
             return;
         }
@@ -147,7 +147,7 @@
 
     /// Serves one connection, until the asker ends it or says nothing for too long.
     async fn connection(&self, stream: Async<TcpStream>, source: Source, seat: &Seat) {
-        let (replies, to_send) = async_channel::bounded(self.limits.caller_queue);
+        let (replies, to_send) = async_channel::unbounded();
         if self.core.send(Message::Open(source, replies)).await.is_err() {
             return;
         }
--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -1,5 +1,6 @@
 //! The one task that owns the engine. Sockets reach it by a bounded queue; it waits for nothing else but
-//! its own next timer, and what does not fit into another task's queue is that task's trouble.
+//! its own next timer. What it hands on never waits for room: set-ups and idle words that another task's queue has none
+//! for are that task's trouble, and what ends something always goes in.
 
 use crate::engine::{End, Engine, Input, Order, Output, Reply, Source};
 use crate::limits::Limits;
@@ -227,10 +228,15 @@
             let Some(at) = (if anywhere { own.or_else(any) } else { own }) else { break };
             let Some(caller) = self.callers.get_mut(&at) else { break };
             caller.served += u64::from(matches!(item.1, Reply::Stands(_)));
-            let Err(back) = caller.replies.try_send(item) else { return true };
-            // Guards against a caller that does not read: its connection ends, not this program.
+            // Final answers and releases are bounded by the calls there are, and have to get through however many come
+            // in one moment, as when a server dies. Guards the memory against a caller that asks for other words
+            // without end and reads none: its connection ends, not this program.
+            let other = matches!(item.1, Reply::Unknown | Reply::Heard);
+            if !(other && caller.replies.len() >= self.limits.caller_queue) {
+                let Err(back) = caller.replies.try_send(item) else { return true };
+                item = back.into_inner();
+            }
             self.callers.remove(&at);
-            item = back.into_inner();
         }
         if anywhere && self.undelivered.len() < self.limits.undelivered {
             self.undelivered.push_back(item);
@@ -262,36 +268,44 @@
         vec![ListedServer { id: "s".to_owned(), addr: "127.0.0.1:1".to_owned(), entry }]
     }
 
+    fn limits() -> Limits {
+        Limits::new(256, 64 << 20, 20_000, Duration::from_millis(500), 9_000_000)
+    }
+
+    fn engine(limits: &Limits) -> Engine {
+        let text = include_str!("../tests/recorded/config.json");
+        let text = text.replace("SERVERS", "").replace("CHANNEL", "127.0.0.1:1");
+        Engine::new(crate::config::read(&text).expect("a good file").start.settings, 7, limits)
+    }
+
+    fn call(id: CallId) -> Message {
+        Message::Input(Input::Call(Request {
+            id,
+            source: 1,
+            at: unix_now(),
+            patience: 9_000_000,
+            class: 0,
+            tenant: Some(0),
+            number: format!("{id}"),
+            first_choice: Some(0),
+            units: 1.0,
+            redialled: false,
+            cut_before: false,
+            payload: b"desc"[..].into(),
+        }))
+    }
+
     /// A link has taken nothing for so long that no further set-up fits. Guards the rules against a give-up, a release
     /// or a drain that is dropped with them: a call would be out twice, stand for nobody, or go to a server that drains.
     #[test]
     fn what_ends_something_always_gets_through() {
-        let text = include_str!("../tests/recorded/config.json");
-        let text = text.replace("SERVERS", "").replace("CHANNEL", "127.0.0.1:1");
-        let config = crate::config::read(&text).expect("a good file");
-        let mut limits = Limits::new(256, 64 << 20, 20_000, Duration::from_millis(500), 9_000_000);
+        let mut limits = limits();
         limits.link_queue = 1;
-        let engine = Engine::new(config.start.settings, 7, &limits);
+        let engine = engine(&limits);
         let (queue, messages) = async_channel::unbounded();
         let stuck = Stuck::default();
         let core = Core::new(engine, stuck.clone(), limits, queue.clone());
         let (replies, _answers) = async_channel::unbounded();
-        let call = |id: CallId| {
-            Message::Input(Input::Call(Request {
-                id,
-                source: 1,
-                at: unix_now(),
-                patience: 9_000_000,
-                class: 0,
-                tenant: Some(0),
-                number: format!("{id}"),
-                first_choice: Some(0),
-                units: 1.0,
-                redialled: false,
-                cut_before: false,
-                payload: b"desc"[..].into(),
-            }))
-        };
         let executor = LocalExecutor::new();
         let _core = executor.spawn(core.run(messages));
         let orders = async_io::block_on(executor.run(async {
@@ -324,4 +338,41 @@
         };
         assert_eq!(orders.iter().map(of).collect::<Vec<_>>(), ["start 10", "cancel 10", "drain"]);
     }
+    /// A server dies with more calls than a connection's queue took, and all are released towards the one caller in one
+    /// moment. Guards that connection, with all that is open on it: it was closed as that of a caller that does not
+    /// read. One that asks for other words without end still is.
+    #[test]
+    fn releases_in_one_moment_end_no_connection() {
+        let mut limits = limits();
+        limits.caller_queue = 2;
+        let engine = engine(&limits);
+        let (queue, messages) = async_channel::unbounded();
+        let core = Core::new(engine, Stuck::default(), limits, queue.clone());
+        let (replies, answers) = async_channel::unbounded();
+        let executor = LocalExecutor::new();
+        let _core = executor.spawn(core.run(messages));
+        async_io::block_on(executor.run(async {
+            let tell = |message| queue.try_send(message).expect("the core is there");
+            let settled = async || {
+                while !queue.is_empty() {
+                    future::yield_now().await;
+                }
+                // Once more: the last message is in the core's hands.
+                future::yield_now().await;
+            };
+            tell(Message::Open(1, replies));
+            for id in 10..15 {
+                tell(Message::Input(Input::Over { id, server: 0, cause: 16, report: None }));
+            }
+            settled().await;
+            let came: Vec<_> = std::iter::from_fn(|| answers.try_recv().ok()).collect();
+            assert_eq!(came, (10..15).map(|id| (id, Reply::Over(16))).collect::<Vec<_>>());
+            for id in 20..24 {
+                tell(Message::Input(Input::Left(id, 1)));
+            }
+            settled().await;
+            assert!(answers.is_closed());
+            assert_eq!(answers.len(), 2);
+        }));
+    }
 }
--- a/proxy/src/isup/front.rs
+++ b/proxy/src/isup/front.rs
@@ -135,7 +135,7 @@
     /// One connection, until either side ends it. Bytes that are no message end it too.
     async fn serve(&self, stream: Async<TcpStream>, source: Source, seat: &Seat) {
         let _ = stream.get_ref().set_nodelay(true);
-        let (replies, to_write) = async_channel::bounded(self.limits.caller_queue);
+        let (replies, to_write) = async_channel::unbounded();
         // The core alone holds the sender: when it drops it, the connection ends.
         if self.core.send(hub::Message::Open(source, replies)).await.is_err() {
             return;
@@ -665,4 +665,17 @@
         scene.says(Message::new(RELEASE, 99).with(CAUSE, &[16]));
         assert_eq!(scene.read(), answer(10));
     }
+    /// All calls of a server that dies are released towards one caller in one moment: each has room in its queue.
+    #[test]
+    fn a_burst_of_releases_has_room() {
+        let mut scene = Scene::new();
+        let calls = 1..=600;
+        for call in calls.clone() {
+            scene.answers(call, Reply::Over(41));
+        }
+        scene.replies = None;
+        let release =
+            |call| Message::new(RELEASE, call).with(CAUSE, &[41]).encode(16_384).expect("short enough");
+        assert_eq!(scene.read(), calls.flat_map(release).collect::<Vec<_>>());
+    }
 }
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -12,9 +12,10 @@
     pub read: usize,
     /// Messages that may wait for the engine.
     pub core_queue: usize,
-    /// Messages that may wait for one server.
+    /// Set-ups that may wait for one server, or be waiting on one of its connections.
     pub link_queue: usize,
-    /// Replies of the core that may wait for one caller's connection, and of the front.
+    /// Replies of the core that may wait for one caller's connection before other words than final answers and releases
+    /// end it, and replies of the front that may.
     pub caller_queue: usize,
     pub own_queue: usize,
     /// How long after a server's refusal a second copy of it may come. They tell nothing of the attempt that they are
--- a/proxy/src/sip/link.rs
+++ b/proxy/src/sip/link.rs
@@ -95,12 +95,19 @@
 
     /// Does what the link wants, and reports to the core.
     async fn carry_out(&mut self, mut inputs: Vec<Input>) {
+        // Guards a release that comes as the program ends: a server that is told it was heard says it to nobody else.
+        if self.core.is_closed() {
+            return;
+        }
         for todo in self.link.todo() {
             match todo {
                 Do::Connect(conn) => self.connect(conn),
-                // A connection that takes no more is as good as lost.
+                // Set-ups alone are bounded. What calls them off and what releases calls has to get through, and of
+                // these there are no more than calls; a connection that takes nothing ends by itself.
                 Do::Write(conn, bytes, setup) => {
-                    let taken = self.conns.get(&conn).is_some_and(|c| c.try_send(bytes).is_ok());
+                    let takes = |c: &&Sender<_>| setup.is_none() || c.len() < self.limits.link_queue;
+                    let conn = self.conns.get(&conn).filter(takes);
+                    let taken = conn.is_some_and(|c| c.try_send(bytes).is_ok());
                     if let Some(call) = setup.filter(|_| !taken) {
                         inputs.extend(self.link.unsent(call));
                     }
@@ -116,7 +123,7 @@
     }
 
     fn connect(&mut self, id: u64) {
-        let (write, to_write) = async_channel::bounded(self.limits.link_queue);
+        let (write, to_write) = async_channel::unbounded();
         self.conns.insert(id, write);
         let (addr, tell, limits) = (self.addr, self.tell.clone(), self.limits.clone());
         let task = async move {
@@ -179,3 +186,77 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use futures_lite::{AsyncReadExt, AsyncWriteExt};
+    use std::net::TcpListener;
+
+    fn setups(executor: &Rc<LocalExecutor<'static>>) -> Setups {
+        let limits = Limits::new(256, 64 << 20, 20_000, Duration::from_millis(500), 9_000_000);
+        let shared = Shared { classes: vec!["voice".to_owned()], gives_wait: true, limits };
+        Setups { shared: Rc::new(shared), executor: executor.clone() }
+    }
+
+    fn server() -> (Async<TcpListener>, String) {
+        let server = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a free port");
+        let at = server.get_ref().local_addr().expect("bound").to_string();
+        (server, at)
+    }
+
+    /// Hundreds of calls are released at a server before it can be reached, and all go out as it is. Guards against
+    /// calls that stand for nobody: what a connection's queue had no room for was dropped.
+    #[test]
+    fn a_burst_of_releases_goes_out_whole() {
+        const CALLS: u64 = 1_500;
+        let executor = Rc::new(LocalExecutor::new());
+        let (server, at) = server();
+        let (core, _told) = async_channel::unbounded();
+        let (orders, to_do) = async_channel::unbounded();
+        for call in 0..CALLS {
+            orders.try_send(Order::Release(call, 16)).expect("room");
+        }
+        setups(&executor).open(0, &at, to_do, core);
+        async_io::block_on(executor.run(async {
+            let (mut link, _) = server.accept().await.expect("it connects");
+            let (mut came, mut bytes) = (Vec::<u8>::new(), [0; 16_384]);
+            while came.windows(4).filter(|w| w == b"BYE ").count() < CALLS as usize {
+                let read = within(Duration::from_secs(10), link.read(&mut bytes)).await.expect("in time");
+                came.extend(&bytes[..read.expect("open")]);
+            }
+        }));
+    }
+    /// A server releases a call in the moment in which the core has ended. Guards its caller against a release that the
+    /// server takes for heard: it says it again on its next connection, which is the next process's.
+    #[test]
+    fn a_release_that_nobody_passes_on_is_not_heard() {
+        let executor = Rc::new(LocalExecutor::new());
+        let (server, at) = server();
+        let (core, told) = async_channel::unbounded();
+        let (orders, to_do) = async_channel::unbounded();
+        setups(&executor).open(0, &at, to_do, core);
+        let bye =
+            b"BYE sip:x@net SIP/2.0\r\nCall-ID: 000000000000000a\r\nCSeq: 7 BYE\r\nContent-Length: 0\r\n\r\n";
+        let heard = async_io::block_on(executor.run(async {
+            let (mut link, _) = server.accept().await.expect("it connects");
+            link.write_all(bye).await.expect("sent");
+            let over = within(Duration::from_secs(10), told.recv()).await.expect("in time");
+            assert!(matches!(over, Ok(hub::Message::Input(Input::Spoke { .. }))), "{over:?}");
+            let mut bytes = [0; 256];
+            let read = within(Duration::from_secs(10), link.read(&mut bytes)).await.expect("in time");
+            assert!(bytes[..read.expect("open")].starts_with(b"SIP/2.0 200"), "with a core it is heard");
+            told.close();
+            link.write_all(bye).await.expect("sent");
+            // The program closes what it has once the link's orders end, and nothing came before that.
+            for _ in 0..200 {
+                future::yield_now().await;
+                Timer::after(Duration::from_micros(100)).await;
+            }
+            drop(orders);
+            let read = within(Duration::from_secs(10), link.read(&mut bytes)).await.expect("in time");
+            bytes[..read.unwrap_or(0)].to_vec()
+        }));
+        assert!(heard.is_empty(), "{}", heard.escape_ascii());
+    }
+}
--- a/proxy/src/sip/state.rs
+++ b/proxy/src/sip/state.rs
@@ -301,8 +301,7 @@
     fn release(&mut self, call: CallId, cause: u8) {
         match self.best() {
             Some(conn) => self.release_on(conn, call, cause),
-            None if self.releases.len() < self.shared.limits.link_queue => self.releases.push((call, cause)),
-            None => {}
+            None => self.releases.push((call, cause)),
         }
     }
 
--- a/proxy/tests/recorded.rs
+++ b/proxy/tests/recorded.rs
@@ -43,6 +43,11 @@
 /// A field that is missing, misspelt, of another kind or at odds with others is named in one line, and nothing is served.
 #[test]
 fn a_field_that_is_wrong_is_named() {
+    let server = |addr: &str, state: &str| {
+        format!(
+            r#"{{"id":"s1","addr":"{addr}","zone":"z","kind":"k","cell":0,"state":"{state}","started_ms":0}}"#
+        )
+    };
     let good = include_str!("recorded/config.json").replace("SERVERS", "").replace("CHANNEL", "127.0.0.1:1");
     for (from, to, line) in [
         (r#""sockets":1024"#, r#""socket":1024"#, "limits.sockets is missing"),
@@ -64,6 +69,40 @@
         (r#""known":{"cursor":1,"#, r#""known":{"#, "known.cursor is missing"),
         (r#""cmds":"#, r#""commands":"#, "known.cmds is missing"),
         (r#""release_guard":300000"#, r#""release_gard":300000"#, "specifics.release_guard is missing"),
+        // What may be missing, misspelt: it would be taken for a deployment that does without.
+        (
+            r#""allowed_pools":"#,
+            r#""alowed_pools":"#,
+            "specifics.alowed_pools is unknown; allowed_pools is missing",
+        ),
+        (r#""gives_wait":"#, r#""give_wait":"#, "specifics.give_wait is unknown; gives_wait is missing"),
+        (r#""self_no":"#, r#""self_on":"#, "specifics.self_on is unknown; self_no is missing"),
+        (r#""parties":"#, r#""partys":"#, "settings.partys is unknown; parties is missing"),
+        (r#""columns":"#, r#""colums":"#, "report.colums is unknown; columns is missing"),
+        // What cannot be.
+        (r#""sockets":1024"#, r#""sockets":0"#, "limits.sockets cannot be 0"),
+        (r#""memory_mb":192"#, r#""memory_mb":0"#, "limits.memory_mb cannot be 0"),
+        (r#""balancers":1"#, r#""balancers":0"#, "settings.balancers cannot be 0"),
+        (r#""dial_timeout":500000"#, r#""dial_timeout":0"#, "limits.dial_timeout cannot be 0"),
+        (r#""late_worth":0.25"#, r#""late_worth":25"#, "profiles: late_worth cannot be 25"),
+        (r#""credit":1.0"#, r#""credit":-1.0"#, "profiles: credit cannot be -1"),
+        (r#""fraction":1.0"#, r#""fraction":55"#, "parties: fraction cannot be 55"),
+        (r#""over_share_worth":0.05"#, r#""over_share_worth":5"#, "over_share_worth cannot be 5"),
+        (r#""start_capacity":0.31"#, r#""start_capacity":31"#, "contract.start_capacity cannot be 31"),
+        (r#""fall_multiple":2.0"#, r#""fall_multiple":-2.0"#, "contract.fall_multiple cannot be -2"),
+        (r#""automatic""#, r#""automatik""#, "registry_mode cannot be \"automatik\""),
+        (r#""effect":"safe""#, r#""effect":"save""#, "effect cannot be \"save\""),
+        (
+            r#""servers":[]"#,
+            &format!(r#""servers":[{}]"#, server("here", "SERVING")),
+            "addr of s1 cannot be \"here\"",
+        ),
+        (
+            r#""servers":[]"#,
+            &format!(r#""servers":[{}]"#, server("127.0.0.1:9", "SERVED")),
+            "state cannot be",
+        ),
+        (r#""cmds":["#, r#""cmds":[{"cursor":1},"#, "known.cmds: cursor 1 follows 1"),
     ] {
         assert!(good.contains(from), "{from}");
         let mut program = Program::start("PROXY_CONFIG", &good.replacen(from, to, 1));
