--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -338,6 +338,7 @@
         };
         assert_eq!(orders.iter().map(of).collect::<Vec<_>>(), ["start 10", "cancel 10", "drain"]);
     }
+
     /// A server dies with more calls than a connection's queue took, and all are released towards the one caller in one
     /// moment. Guards that connection, with all that is open on it: it was closed as that of a caller that does not
     /// read. One that asks for other words without end still is.
