--- a/proxy/src/sip/link.rs
+++ b/proxy/src/sip/link.rs
@@ -83,6 +83,9 @@
             let now = unix_now();
             let inputs = match next {
                 Next::Order(order) => self.link.order(now, order),
+                // Guards a release that comes as the program ends: a server that is told it was heard says it to nobody
+                // else. What the core has ordered before still goes out.
+                Next::Told(..) if self.core.is_closed() => continue,
                 Next::Told(conn, told) => self.link.told(now, conn, told),
                 Next::Connect => self.link.look(now),
                 Next::End => break,
@@ -95,10 +98,6 @@
 
     /// Does what the link wants, and reports to the core.
     async fn carry_out(&mut self, mut inputs: Vec<Input>) {
-        // Guards a release that comes as the program ends: a server that is told it was heard says it to nobody else.
-        if self.core.is_closed() {
-            return;
-        }
         for todo in self.link.todo() {
             match todo {
                 Do::Connect(conn) => self.connect(conn),
@@ -259,4 +258,29 @@
         }));
         assert!(heard.is_empty(), "{}", heard.escape_ascii());
     }
+
+    /// The core has ended with a release ordered: it goes out all the same.
+    #[test]
+    fn a_release_that_was_ordered_goes_out_as_the_core_ends() {
+        let executor = Rc::new(LocalExecutor::new());
+        let (server, at) = server();
+        let (core, told) = async_channel::unbounded();
+        let (orders, to_do) = async_channel::unbounded();
+        setups(&executor).open(0, &at, to_do, core);
+        let came = async_io::block_on(executor.run(async {
+            let (mut link, _) = server.accept().await.expect("it connects");
+            link.write_all(b"NOTIFY sip:peer@net SIP/2.0\r\nX-State: x0:1;x1:2\r\nContent-Length: 0\r\n\r\n")
+                .await
+                .expect("sent");
+            within(Duration::from_secs(10), told.recv()).await.expect("in time").expect("the link lives");
+            orders.try_send(Order::Release(10, 16)).expect("room");
+            drop(orders);
+            drop(told);
+            let mut came = Vec::new();
+            let all = within(Duration::from_secs(10), link.read_to_end(&mut came)).await;
+            all.expect("in time").expect("it closes in order");
+            came
+        }));
+        assert!(came.starts_with(b"BYE "), "{}", came.escape_ascii());
+    }
 }
