Keep a connection that is served during its first wait, though the timer fires late

Cause: Seat::next (net.rs) took its wait once, before the message: 1.5 s for a connection that was never served. The call's answer came a few milliseconds later, and proved it. The timer then fired later than those few milliseconds, as on a loaded machine, and the look that follows held the time since the answer against the wait from before: 1.5 s and more, so the connection left. Ruled out: the core (it drops a sender only at its end), the idle time itself (5 s, measured from the answer).

Now the look afterwards asks what the connection is given as of then. The unit test polls a wait into being, serves the connection, lets the time pass and polls again: without the fix it failed ('it was served'), with it it passes.

--- a/proxy/src/net.rs
+++ b/proxy/src/net.rs
@@ -171,14 +171,18 @@
         self.proven.set(true);
     }
 
-    /// Waits for what comes next. A peer that was never served is given less time.
+    /// How long it may say nothing while nothing is owed on it. A peer that was never served is given less time.
+    fn patience(&self, limits: &Limits) -> Duration {
+        if self.proven.get() { limits.idle } else { limits.first }
+    }
+
+    /// Waits for what comes next.
     pub async fn next<T>(
         &self,
         mut messages: impl Stream<Item = Result<T, WireError>> + Unpin,
         limits: &Limits,
     ) -> Next<T> {
         loop {
-            let wait = if self.proven.get() { limits.idle } else { limits.first };
             let next = async {
                 match messages.next().await {
                     Some(Ok(message)) => Next::Message(message),
@@ -190,11 +194,14 @@
                 let _ = self.leave.1.recv().await;
                 Next::Leave
             };
-            match within(wait, future::or(next, leave)).await {
+            match within(self.patience(limits), future::or(next, leave)).await {
                 // Guards a set-up that has come since the seat was asked for: its answer is owed here.
                 Some(Next::Leave) if self.busy.get() => {}
                 Some(next) => return next,
-                None if !self.busy.get() && self.active.get().elapsed() >= wait => return Next::Leave,
+                // Guards a connection that was served during the wait: what it is given counts as of now.
+                None if !self.busy.get() && self.active.get().elapsed() >= self.patience(limits) => {
+                    return Next::Leave;
+                }
                 None => {}
             }
         }
@@ -259,6 +266,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use futures_lite::pin;
 
     /// A seat that is asked for in the moment in which a set-up comes on its connection: the answer is owed there.
     #[test]
@@ -276,4 +284,24 @@
             assert!(matches!(seat.next(&mut messages, &limits).await, Next::Leave));
         });
     }
+
+    /// A connection that is served while its wait as one never served runs, and whose timer fires late: it has the
+    /// longer time from then on. It was closed 1.5 s after its first call, on a loaded machine.
+    #[test]
+    fn a_connection_served_during_its_wait_stays_for_the_longer_time() {
+        let mut limits = Limits::new(256, 64 << 20, 20_000, Duration::from_millis(500), 9_000_000);
+        limits.first = Duration::from_millis(20);
+        limits.idle = Duration::from_secs(3_600);
+        let mut messages = Box::pin(stream::pending::<Result<(), WireError>>());
+        async_io::block_on(async {
+            let seat = Seat::new();
+            let next = seat.next(&mut messages, &limits);
+            pin!(next);
+            assert!(future::poll_once(&mut next).await.is_none(), "the shorter wait has begun");
+            seat.prove();
+            seat.used(false);
+            std::thread::sleep(2 * limits.first);
+            assert!(future::poll_once(&mut next).await.is_none(), "it was served");
+        });
+    }
 }
