Ask servers for their load where the settings allow it, as far as calls pay for it

Whom to ask, and when, is decided in src/probes.rs, without I/O or clock: a server whose figure is an update interval old, the oldest first, one probe out at a server, half a probe a call at most. A lost probe says nothing. The engine passes the order on to servers that are ready, where the settings allow it; the link writes it on the connection heard last and takes the one answer that fits within half a second.

A budget and no shared reports: at 300 proxies with 24 servers one report to all costs more than the probe.

One fault on the way: the phases were drawn from the module's own random numbers, which changed all its other draws.

--- a/proxy/src/engine.rs
+++ b/proxy/src/engine.rs
@@ -87,6 +87,12 @@
         report: Option<Report>,
     },
     Room(ServerId, Report),
+    /// A probe was answered, or came to nothing.
+    Probed {
+        server: ServerId,
+        passed: bool,
+        report: Option<Report>,
+    },
     /// A server spoke on a new connection, or again on one it had.
     Spoke {
         server: ServerId,
@@ -143,6 +149,8 @@
     Release(CallId, u8),
     /// Nothing new may go out; what is queued ends as not sent.
     Drain,
+    /// The server is asked for its load.
+    Probe,
     /// The server is out of reach with its site: connects are to be few. Or it is worth a look again.
     Rest(bool),
 }
@@ -210,6 +218,7 @@
     refusable: Vec<bool>,
     release_wait: Time,
     hold_off: Option<Time>,
+    may_probe: bool,
     margin: Time,
     most_open: usize,
     now: Time,
@@ -228,6 +237,7 @@
             refusable: settings.classes.iter().map(Class::refusable).collect(),
             release_wait: settings.release_wait,
             hold_off: settings.max_hold_off,
+            may_probe: settings.may_probe,
             margin: limits.margin,
             most_open: limits.open_calls,
             controller: Controller::new(settings, seed),
@@ -296,6 +306,9 @@
             Input::Ended { id, attempt, server, end } => self.attempt_ended(id, attempt, server, end, out),
             Input::Over { id, server, cause, report } => self.over(id, server, cause, report, out),
             Input::Room(server, report) => self.tell(Event::Room(server, report), out),
+            Input::Probed { server, passed, report } => {
+                self.tell(Event::Probed { server, passed, report }, out);
+            }
             Input::Spoke { server, fresh } => self.tell(Event::Spoke { server, fresh }, out),
             Input::Died(server) => self.cut_all(|at, _| at == server, out),
             Input::List(kind, entries) => self.list(kind, entries, out),
@@ -564,15 +577,24 @@
             }
             Action::Rest { server, rest } => out.push(Output::Order(server, Order::Rest(rest))),
             Action::Log(text) => out.push(Output::Log(text)),
-            // Neither probes nor messages to other proxies exist here, and the list comes unasked.
-            Action::Probe(_) | Action::Tell(..) | Action::WatchList => {}
+            // Guards servers that drain or are gone, and all where the settings forbid it.
+            Action::Probe(server) => match self.may_probe && self.is_ready(server) {
+                true => out.push(Output::Order(server, Order::Probe)),
+                false => return Some(Event::Probed { server, passed: false, report: None }),
+            },
+            // The list comes unasked, and the module sends no messages to other proxies.
+            Action::Tell(..) | Action::WatchList => {}
         }
         None
     }
 
+    fn is_ready(&self, server: ServerId) -> bool {
+        self.servers.get(&server).is_some_and(|s| s.0 == State::Ready)
+    }
+
     /// Sends an attempt out if the rules allow it, else ends it as never sent.
     fn start(&mut self, id: CallId, server: ServerId, out: &mut Vec<Output>) -> Option<Event> {
-        let ready = self.servers.get(&server).is_some_and(|s| s.0 == State::Ready);
+        let ready = self.is_ready(server);
         let now = self.now;
         let call = self.calls.get_mut(&id)?;
         let Stage::Open { deadline, out: attempt, attempts, not_before, .. } = &mut call.stage else {
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -59,6 +59,8 @@
     pub write: Duration,
     /// A server connection silent for so long after a set-up is passed over for the next.
     pub quiet: Time,
+    /// A probe that is not answered by then came to nothing. Its figure would be as old as half an interval of the window.
+    pub probe: Time,
     /// With calls standing at a server that says nothing for so long, a new connection shows whether it lives.
     pub silent: Time,
     /// A server that cannot be reached for so long has vanished, and its calls with it.
@@ -139,6 +141,7 @@
             connect,
             write: Duration::from_secs(2),
             quiet: 500_000,
+            probe: 500_000,
             silent: 2_000_000,
             vanished: 2_000_000,
             gone: 6_000_000,
--- a/proxy/src/sip/mod.rs
+++ b/proxy/src/sip/mod.rs
@@ -114,6 +114,11 @@
     .into_bytes()
 }
 
+/// Asks a server for its load.
+pub fn probe(id: CallId) -> Vec<u8> {
+    follow_up("OPTIONS", "load", id, 1, "")
+}
+
 /// Cuts the bytes of a connection into messages.
 pub struct Decoder {
     pub most: usize,
--- a/proxy/src/sip/state.rs
+++ b/proxy/src/sip/state.rs
@@ -5,7 +5,7 @@
 use crate::engine::{CAUSE_NORMAL, End, Input, Order};
 use crate::limits::Limits;
 use fernspan_core::sites::{KEPT, TELLING};
-use fernspan_core::{Outcome, Reason, ServerId, Time};
+use fernspan_core::{Outcome, Reason, Report, ServerId, Time};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -64,6 +64,13 @@
     number: String,
 }
 
+/// A probe that is out. It ends by its answer or its time alone, whatever becomes of the connection.
+struct Probe {
+    conn: u64,
+    id: CallId,
+    until: Time,
+}
+
 pub struct Link {
     shared: Rc<Shared>,
     server: ServerId,
@@ -85,6 +92,9 @@
     refused: VecDeque<(CallId, u64, Time)>,
     /// Set-ups that wait until no second copy of such a refusal can come, and when that is.
     held: VecDeque<(Time, Setup)>,
+    probe: Option<Probe>,
+    /// Probes that went out so far.
+    probes: u32,
     /// When to connect again.
     connect_at: Option<Time>,
     /// No further connection is opened before: the server has none left.
@@ -121,6 +131,8 @@
             unheard: VecDeque::new(),
             refused: VecDeque::new(),
             held: VecDeque::new(),
+            probe: None,
+            probes: 0,
             connect_at: Some(now),
             more_at: 0,
             heard: now,
@@ -158,7 +170,8 @@
     /// When it wants to be looked after.
     pub fn due(&self) -> Option<Time> {
         let held = self.held.front().map(|h| h.0);
-        held.into_iter().chain(self.connect_due()).min()
+        let probe = self.probe.as_ref().map(|p| p.until);
+        held.into_iter().chain(probe).chain(self.connect_due()).min()
     }
 
     /// When to connect: after a loss, or to see whether a silent server lives.
@@ -184,6 +197,9 @@
         while let Some((_, setup)) = self.held.pop_front_if(|h| h.0 <= now) {
             inputs.extend(self.start(setup));
         }
+        if self.probe.take_if(|p| p.until <= now).is_some() {
+            inputs.push(self.probed(false, None));
+        }
         if self.connect_due().is_some_and(|at| at <= now) {
             self.look_for_life();
         }
@@ -234,6 +250,7 @@
                 self.draining = true;
                 self.fail_queue(Outcome::NotSent)
             }
+            Order::Probe => self.ask_load(),
             Order::Rest(rest) => {
                 self.rest(rest);
                 Vec::new()
@@ -241,6 +258,26 @@
         }
     }
 
+    /// Asks the server for its load, on a connection that is known to live: for a probe alone none is opened. One is
+    /// out at a time.
+    fn ask_load(&mut self) -> Vec<Input> {
+        if self.probe.is_some() {
+            return Vec::new();
+        }
+        let Some(conn) = self.best().filter(|id| self.conns[id].spoken) else {
+            return vec![self.probed(false, None)];
+        };
+        self.probes = self.probes.wrapping_add(1);
+        let id = u64::from(self.server) << 32 | u64::from(self.probes);
+        self.probe = Some(Probe { conn, id, until: self.now + self.shared.limits.probe });
+        self.write(conn, probe(id));
+        Vec::new()
+    }
+
+    fn probed(&self, passed: bool, report: Option<Report>) -> Input {
+        Input::Probed { server: self.server, passed, report }
+    }
+
     /// Looks at a server whose site is lost now and then, and once the site speaks again soon: whether that one
     /// does too, only a connection shows.
     fn rest(&mut self, rest: bool) {
@@ -589,12 +626,20 @@
             },
             Start::Response { status } => {
                 let status = *status;
-                if m.sequence().is_some_and(|(_, of)| of == "BYE") {
-                    self.unheard.retain(|u| Some(u.0) != m.call());
-                }
-                let Some((sequence, "INVITE")) = m.sequence() else { return Vec::new() };
                 let Some(call) = m.call().filter(|_| status >= 200) else { return Vec::new() };
-                self.answered(conn, call, sequence, status, m)
+                match m.sequence() {
+                    Some((sequence, "INVITE")) => self.answered(conn, call, sequence, status, m),
+                    // One that comes late, twice or on another connection finds no probe, and is no report.
+                    Some((_, "OPTIONS")) => {
+                        let answered = self.probe.take_if(|p| p.conn == conn && p.id == call);
+                        answered.map(|_| self.probed(status < 300, m.report())).into_iter().collect()
+                    }
+                    Some((_, "BYE")) => {
+                        self.unheard.retain(|u| u.0 != call);
+                        Vec::new()
+                    }
+                    _ => Vec::new(),
+                }
             }
         }
     }
--- a/proxy/tests/link.rs
+++ b/proxy/tests/link.rs
@@ -92,11 +92,22 @@
     }
 
     fn pass(&mut self, span: u64) {
+        self.look(span);
+    }
+
+    /// The same; gives what the core is told.
+    fn look(&mut self, span: u64) -> Vec<Input> {
         self.now += span;
-        if self.link.due().is_some_and(|at| at <= self.now) {
-            self.link.look(self.now);
-            self.done();
-        }
+        let due = self.link.due().is_some_and(|at| at <= self.now);
+        let inputs = if due { self.link.look(self.now) } else { Vec::new() };
+        self.done();
+        inputs
+    }
+
+    fn order(&mut self, order: Order) -> Vec<Input> {
+        let inputs = self.link.order(self.now, order);
+        self.done();
+        inputs
     }
 }
 
@@ -392,3 +403,100 @@
     assert!(host.wrote.contains("X-Patience: 1500\r\n"), "{}", host.wrote);
     assert_eq!(host.wrote.matches("INVITE sip").count(), 1, "{}", host.wrote);
 }
+
+/// The id of the probe that was written last.
+fn probe(wrote: &str) -> String {
+    let (_, probe) = wrote.rsplit_once("OPTIONS sip:load@net SIP/2.0\r\n").expect("a probe");
+    let id = probe.lines().find_map(|l| l.strip_prefix("Call-ID: ")).expect("an id");
+    assert!(id.len() == 16 && probe.contains("CSeq: 1 OPTIONS\r\n"), "{probe}");
+    id.to_owned()
+}
+
+fn load(id: &str, status: &str, state: &str) -> String {
+    format!("SIP/2.0 {status}\r\nCall-ID: {id}\r\nCSeq: 1 OPTIONS\r\n{state}Content-Length: 0\r\n\r\n")
+}
+
+/// An answer is the report of the probe that is out, once. Guards the module against figures that are late, doubled, of
+/// another probe, or that came on another connection: they are no report.
+#[test]
+fn a_probe_has_one_answer() {
+    let mut h = Host::new();
+    assert!(h.order(Order::Probe).is_empty());
+    let id = probe(&h.wrote);
+    let state = "X-State: x0:60;x1:100;util:0.8;queue:3\r\n";
+    assert!(h.hears(&load("00000000000000aa", "200 OK", state)).is_empty(), "another's");
+    assert!(h.hears(&load(&id, "100 Trying", "")).is_empty(), "not final");
+    let said = h.hears(&load(&id, "200 OK", state));
+    let [Input::Probed { server: 3, passed: true, report: Some(report) }] = said[..] else {
+        panic!("{said:?}")
+    };
+    assert_eq!((report.occupancy, report.queue, report.free), (Some(0.8), Some(3.0), Some(60.0)));
+    assert!(h.hears(&load(&id, "200 OK", state)).is_empty(), "a second one");
+    // The next has its own id; its time passes, and its answer is too late.
+    assert!(h.order(Order::Probe).is_empty());
+    assert!(h.order(Order::Probe).is_empty(), "one is out at a time");
+    assert_eq!(h.wrote.matches("OPTIONS sip:load").count(), 2);
+    let next = probe(&h.wrote);
+    assert_ne!(next, id);
+    assert!(h.look(490_000).is_empty());
+    let said = h.look(20_000);
+    assert!(matches!(said[..], [Input::Probed { server: 3, passed: false, report: None }]), "{said:?}");
+    let said = h.hears(&load(&next, "200 OK", state));
+    assert!(matches!(said[..], [Input::Spoke { fresh: false, .. }]), "too late: {said:?}");
+    // One that fails, and one without a figure that can be read.
+    h.order(Order::Probe);
+    let said = h.hears(&load(&probe(&h.wrote), "503 No", ""));
+    assert!(matches!(said[..], [Input::Probed { passed: false, report: None, .. }]), "{said:?}");
+    h.order(Order::Probe);
+    let said = h.hears(&load(&probe(&h.wrote), "200 OK", "X-State: util:much;;queue;x0\r\n"));
+    let [Input::Probed { passed: true, report: Some(report), .. }] = said[..] else { panic!("{said:?}") };
+    assert_eq!((report.occupancy, report.queue, report.free), (None, None, None));
+}
+
+/// A probe is out as its connection ends and a new one comes up: an answer there is not this one's, and the calls are
+/// not touched by either.
+#[test]
+fn a_probe_does_not_outlive_its_connection() {
+    let mut h = Host::new();
+    h.order(Order::Probe);
+    let id = probe(&h.wrote);
+    h.told(Told::Closed);
+    // None is up: a probe alone opens none.
+    let open = h.connects.len();
+    h.pass(S);
+    assert_eq!(h.connects.len(), open + 1, "the link's own next connection");
+    let said = h.order(Order::Probe);
+    assert!(matches!(said[..], [Input::Probed { passed: false, .. }]), "{said:?}");
+    assert_eq!(h.connects.len(), open + 1);
+    h.told(Told::Up);
+    h.state(60, 100);
+    assert!(h.hears(&load(&id, "200 OK", "X-State: util:0.8\r\n")).is_empty());
+    // The call of before stands on.
+    let bye =
+        "BYE sip:x@net SIP/2.0\r\nCall-ID: 0000000000000007\r\nCSeq: 7 BYE\r\nContent-Length: 0\r\n\r\n";
+    assert!(matches!(h.hears(bye)[..], [Input::Over { id: 7, .. }]));
+}
+
+/// The answers of calls and of a probe are mixed on one connection, the probe's id that of a call that is out.
+#[test]
+fn answers_of_calls_and_probes_do_not_mix() {
+    let mut h = Host::new();
+    h.order(Order::Probe);
+    let id = probe(&h.wrote);
+    let call = u64::from_str_radix(&id, 16).expect("hex digits");
+    h.order(Order::Start(setup(call)));
+    let of_call = |status: &str| format!("SIP/2.0 {status}\r\nCall-ID: {id}\r\nCSeq: 1 INVITE\r\n");
+    let said = h.hears(&load(&id, "503 No", ""));
+    assert!(matches!(said[..], [Input::Probed { passed: false, .. }]), "{said:?}");
+    let said = h.hears(&format!("{}Content-Length: 3\r\n\r\nv=0", of_call("200 OK")));
+    assert!(matches!(said[..], [Input::Stood { id: at, .. }] if at == call), "{said:?}");
+    h.order(Order::Probe);
+    let next = probe(&h.wrote);
+    let call = u64::from_str_radix(&next, 16).expect("hex digits");
+    h.order(Order::Start(setup(call)));
+    let refused =
+        format!("SIP/2.0 503 Full\r\nCall-ID: {next}\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n");
+    assert!(matches!(h.hears(&refused)[..], [Input::Ended { id: at, .. }] if at == call));
+    let said = h.hears(&load(&next, "200 OK", "X-State: util:0.5\r\n"));
+    assert!(matches!(said[..], [Input::Probed { passed: true, .. }]), "{said:?}");
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,6 +6,7 @@
 
 use crate::interface::*;
 use crate::mean::Mean;
+use crate::probes::Probes;
 use crate::refusal::{self, Claim, Refusal};
 use crate::sites::{self, COLD_AFTER, Change, Room, STALL, Sites};
 use rand_core::{Rng, SeedableRng};
@@ -237,6 +238,7 @@
     turn_at: Time,
     sites: Sites,
     room: Room,
+    probes: Probes,
 }
 
 impl Controller {
@@ -248,6 +250,7 @@
         Controller {
             target: (goal * TARGET_OF_GOAL).min(repeat),
             refusal: Refusal::new(&settings),
+            probes: Probes::new(&settings, seed),
             settings,
             rng: Pcg32::seed_from_u64(seed),
             now: 0,
@@ -270,6 +273,7 @@
         self.now = now;
         self.notice_own_stall();
         self.sites.hear(now, &event);
+        self.probes.hear(now, &event);
         let mut route = true;
         match event {
             Event::List(kind, entries) => self.list(kind, entries),
@@ -337,6 +341,7 @@
         self.refusal.turn(now);
         self.follow_sites(actions);
         self.call_off_lost(actions);
+        actions.extend(self.probes.turn(now).into_iter().map(Action::Probe));
         let (rate, lines) = self.rate_and_lines();
         for server in self.servers.values_mut() {
             server.turn_starts = 0;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod choice;
 pub mod interface;
 mod mean;
+pub mod probes;
 pub mod refusal;
 pub mod sites;
 
