Update a server's window as its period ends, so that each N is judged by its own starts

N rose by half every other second in place of each.

Cause: choice.rs counts starts from one update to the next, and grants them by periods. Both begin together, but the update was set to the time at which it was noticed, some milliseconds late each second on sockets, the period to its exact end. So the update falls behind the period, the N that it sets holds from the next period on, and the starts judged against it are those of the N before: 9 of 13.2 is under 'min_fraction_calls' of 0.75, and N is not updated.

Ruled out: late calls that are refused (fresh ones were 210 a second), the per-turn bound (one start a turn is 40 a second), connections (nothing was queued), the report (0.30 and less).

Now the update falls on the end of a period.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -756,9 +756,6 @@
     /// Ends the call control period and, at its end, the OPPUI.
     fn roll(&mut self, now: Time, target: f64, (least, most): (f64, f64), even: f64) {
         let usual = self.usual.unwrap_or(even).max(even) * OPEN_MOST;
-        if now >= self.window.interval + OPPUI {
-            self.update_window(now, target, even);
-        }
         if std::mem::take(&mut self.window.fresh) {
             // Guards against a replacement that stands idle for up to two periods while its calls are held.
             let w = &mut self.window;
@@ -767,6 +764,10 @@
         }
         while now >= self.window.period + CC_PERIOD {
             self.window.period += CC_PERIOD;
+            // Guards against starts of one N that are held against the next: both change at one moment.
+            if self.window.period >= self.window.interval + OPPUI {
+                self.update_window(now, target, even);
+            }
             // Departure: N stays within its bound, but that of a server that is down: a cut has to bite.
             self.window.n = self.window.n.map(|n| if self.down.is_none() { n.min(most) } else { n });
             let n = self.window.n.unwrap_or(most).min(most).max(least);
@@ -807,7 +808,7 @@
             // Guards against a window that stays shut: few starts bring no news, and no news no starts.
             w.n = w.n.map(|n| n + FADE * (usual - n).max(0.0));
         }
-        w.begin_interval(now);
+        w.begin_interval(w.period);
     }
 
     /// Occupancy of the interval: reported, or the delay of own set-ups over the target where that is more
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -718,3 +718,35 @@
     let (soon, later) = (started(0), started(15 * S));
     assert!(later >= soon + 2, "{soon} in four seconds, {later} after fifteen without news");
 }
+
+/// A host whose turns come late, as on real sockets, and a server that has little to do again after a jam: its window
+/// grows every second. Guards against an update that falls behind the period whose starts it judges: a full window of
+/// the N before looked like few calls for the new one, and N rose every other second only.
+#[test]
+fn a_window_returns_every_second_though_the_turns_come_late() {
+    let mut s = Script::new(settings(), 1);
+    let mut next = 0;
+    // One call every 28 ms, as each turn comes 3 ms late. Starts of each second, for so many seconds.
+    let mut seconds = |s: &mut Script, count: u64, elapsed: Time, occupancy: f64| -> Vec<usize> {
+        let report = Some(Report { occupancy: Some(occupancy), ..Report::default() });
+        let (from, mut starts_of) = (s.now, vec![0; count as usize]);
+        while s.now < from + count * S {
+            next += 1;
+            let mut actions = s.event(Event::Call(call(next, 0)));
+            actions.extend(s.event(Event::Timer(0)));
+            for (id, server) in starts(&actions) {
+                starts_of[((s.now - from) / S) as usize] += 1;
+                s.stood(id, server, elapsed);
+                s.ended_with(id, 0, server, Outcome::Done, None, report);
+            }
+            s.now += 28 * MS;
+        }
+        starts_of
+    };
+    let calm = seconds(&mut s, 20, 10 * MS, 0.5);
+    let jam = seconds(&mut s, 6, 1500 * MS, 1.0);
+    let after = seconds(&mut s, 8, 10 * MS, 0.3);
+    assert!(calm[19] >= 34 && jam[5] <= 7, "{calm:?} {jam:?}");
+    // From a seventh, by half each second: five seconds to the usual, and one for the figures of the jam.
+    assert!(after[6] >= 30, "{after:?}");
+}
