--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -72,8 +72,9 @@
 }
 
 /// Fields that may be missing: the object that holds them, and their names. Any other that is read has to be there.
-const OPTIONAL: [(&str, &[&str]); 4] = [
-    ("", &["zones", "parties", "report", "specifics"]),
+const OPTIONAL: [(&str, &[&str]); 5] = [
+    ("", &["zones", "parties", "report", "specifics", "costs"]),
+    ("costs", &["probe"]),
     ("limits", &["max_retry_after"]),
     ("report", &["columns"]),
     ("specifics", &["allowed_pools", "gives_wait", "repeat", "self_no"]),
@@ -149,7 +150,7 @@
     share("contract.start_capacity", s.start_capacity)?;
     classes.iter().try_for_each(|c| share("profiles: late_worth", c.late_worth))?;
     tenants.iter().try_for_each(|t| share("parties: fraction", t.share))?;
-    let below = [("contract.fall_multiple", s.fall_multiple)].into_iter();
+    let below = [("contract.fall_multiple", s.fall_multiple), ("costs.probe", s.probe_price)].into_iter();
     let worths = classes.iter().map(|c| ("profiles: credit", c.worth));
     if let Some((field, value)) = below.chain(worths).find(|f| f.1 < 0.0) {
         return Err(format!("field config: settings.{field} cannot be {value}"));
--- a/proxy/src/operator.rs
+++ b/proxy/src/operator.rs
@@ -94,6 +94,7 @@
         max_hold_off: Some(2_000_000),
         may_cancel: true,
         may_probe: false,
+        probe_price: 0.0,
         may_tell: false,
         ask_list: None,
         own_place: None,
--- a/proxy/tests/recorded.rs
+++ b/proxy/tests/recorded.rs
@@ -80,6 +80,18 @@
         (r#""parties":"#, r#""partys":"#, "settings.partys is unknown; parties is missing"),
         (r#""columns":"#, r#""colums":"#, "report.colums is unknown; columns is missing"),
         // What cannot be.
+        (r#""probes":false"#, r#""probe":false"#, "limits.probes is missing"),
+        (
+            r#""over_share_worth":0.05"#,
+            r#""costs":{"prob":0.1},"over_share_worth":0.05"#,
+            "costs.prob is unknown",
+        ),
+        (r#""over_share_worth":0.05"#, r#""cost":{},"over_share_worth":0.05"#, "settings.cost is unknown"),
+        (
+            r#""over_share_worth":0.05"#,
+            r#""costs":{"probe":-1},"over_share_worth":0.05"#,
+            "costs.probe cannot be -1",
+        ),
         (r#""sockets":1024"#, r#""sockets":0"#, "limits.sockets cannot be 0"),
         (r#""memory_mb":192"#, r#""memory_mb":0"#, "limits.memory_mb cannot be 0"),
         (r#""balancers":1"#, r#""balancers":0"#, "settings.balancers cannot be 0"),
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -94,6 +94,7 @@
         },
         may_cancel: flag("limits.cancel")?,
         may_probe: flag("limits.probes")?,
+        probe_price: maybe(v, "costs.probe", number)?.unwrap_or(0.0),
         may_tell: flag("limits.peers")?,
         ask_list: match asked {
             true => Some(need(v, "contract.ask_every", span)?),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -98,6 +98,8 @@
     pub may_cancel: bool,
     /// Whether servers may be probed.
     pub may_probe: bool,
+    /// What one probe a call would take off the result, as a share of it; 0 where it has no price.
+    pub probe_price: f64,
     /// Whether messages to other controllers are allowed.
     pub may_tell: bool,
     /// Whether the list of servers comes only when asked for, and the longest allowed time without asking.
--- a/src/probes.rs
+++ b/src/probes.rs
@@ -13,8 +13,11 @@
 
 /// Age of a server's figure from which it is asked for another, us (ours): the update interval of its window.
 pub const EVERY: Time = 1_000_000;
-/// Probes that a call pays for (ours): at 0.4 points for one a call that is 0.2 at most.
+/// Probes that a call pays for at most (ours): one a second for each of four servers, at eight calls a second.
 pub const A_CALL: f64 = 0.5;
+/// Most that probes may take off the result, as a share of it (ours): they have brought ten times as much where they
+/// were worth it.
+pub const MOST_PRICE: f64 = 0.002;
 /// Probes that may be saved up (ours): those of a few servers, so that a quiet time is not followed by a burst.
 pub const SAVED: f64 = 3.0;
 /// A probe of which nothing was said for so long is taken for lost, us (ours): the host says so far sooner.
@@ -30,6 +33,8 @@
 /// What is known of the probes of one proxy.
 pub struct Probes {
     allowed: bool,
+    /// Probes that a call pays for.
+    a_call: f64,
     /// Its own, so that probes change no other decision's draws.
     rng: Pcg32,
     servers: BTreeMap<ServerId, Server>,
@@ -39,8 +44,10 @@
 impl Probes {
     /// One that has asked nobody. Where the settings forbid probes it never will.
     pub fn new(settings: &Settings, seed: u64) -> Self {
+        let paid = if settings.probe_price > 0.0 { MOST_PRICE / settings.probe_price } else { A_CALL };
         Probes {
             allowed: settings.may_probe,
+            a_call: paid.min(A_CALL),
             rng: Pcg32::seed_from_u64(seed),
             servers: BTreeMap::new(),
             credit: 0.0,
@@ -51,7 +58,7 @@
     pub fn hear(&mut self, now: Time, event: &Event) {
         match event {
             _ if !self.allowed => {}
-            Event::Call(_) => self.credit = (self.credit + A_CALL).min(SAVED),
+            Event::Call(_) => self.credit = (self.credit + self.a_call).min(SAVED),
             Event::List(kind, entries) => self.list(now, *kind, entries),
             Event::Probed { server, report, .. } => self.told(now, *server, report, true),
             Event::Ended { server, report, .. } => self.told(now, *server, report, false),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -32,6 +32,7 @@
         max_hold_off: Some(2 * S),
         may_cancel: true,
         may_probe: false,
+        probe_price: 0.0,
         may_tell: false,
         ask_list: None,
         own_place: None,
--- a/tests/probes.rs
+++ b/tests/probes.rs
@@ -90,6 +90,24 @@
     assert_eq!(once.len(), seen.len(), "{seen:?}");
 }
 
+/// What probes may cost is bounded by their price in the settings. Guards a fleet in which they are dear: half a probe a call
+/// took 0.04 off the result where one a call costs about 0.1.
+#[test]
+fn probes_that_are_dear_are_few() {
+    for (price, wanted) in [(0.0, 100), (0.004, 100), (0.1, 4), (1.0, 0)] {
+        let mut s = Script::new(Settings { probe_price: price, ..allowed() }, 64);
+        let mut seen: usize = 0;
+        for id in 1..=200 {
+            s.event(Event::Call(call(id, 0)));
+            for server in asked(&s.pass(S)) {
+                seen += 1;
+                s.event(probed(server, 0.5));
+            }
+        }
+        assert!(seen.abs_diff(wanted) <= 1, "{price}: {seen}");
+    }
+}
+
 /// Guards the servers against a burst of probes after a time without any to ask.
 #[test]
 fn what_is_saved_up_is_bounded() {
