--- a/src/probes.rs
+++ b/src/probes.rs
@@ -4,7 +4,7 @@
 //! its is owed. Each proxy asks for itself, and no more than its own calls pay for: one that sees few of them asks
 //! seldom, and one that sees none not at all. A probe that is lost says nothing: a server that waits too long, or is
 //! silent, shows by the calls it has, and is asked again in its turn. A figure counts for the interval in which it
-//! came. Sans I/O and without a clock; random numbers come from the caller.
+//! came. Sans I/O and without a clock.
 
 use crate::interface::{Entry, Event, ListKind, Report, ServerId, Settings, State, Time};
 use rand_core::{Rng, SeedableRng};
