--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -56,7 +56,7 @@
     let mut reload = None;
     if let Some((path, text)) = file_of("PROXY_CONFIG")? {
         let config = config::read(&text).map_err(|e| format!("{path}: {e}"))?;
-        let longest = config.start.settings.classes.iter().map(|c| c.limit).max().unwrap_or_default();
+        let longest = config.start.settings.longest();
         let limits = Limits::new(config.sockets, config.memory, config.open_calls, config.connect, longest);
         flush = limits.flush;
         let (channels, moves) = async_channel::bounded(1);
--- a/proxy/tests/link.rs
+++ b/proxy/tests/link.rs
@@ -39,8 +39,7 @@
         host.pass(S / 10);
         host.told(Told::Up);
         assert!(matches!(host.state(60, 100)[..], [Input::Spoke { fresh: true, .. }, Input::Room(..)]));
-        host.link.order(host.now, Order::Start(setup(7)));
-        host.done();
+        host.order(Order::Start(setup(7)));
         let answer =
             "SIP/2.0 200 OK\r\nCall-ID: 0000000000000007\r\nCSeq: 1 INVITE\r\nContent-Length: 3\r\n\r\nv=0";
         assert!(matches!(host.hears(answer)[..], [Input::Stood { id: 7, .. }]));
@@ -148,8 +147,7 @@
     let mut host = Host::new();
     let from = host.now;
     host.pass(S);
-    host.link.order(host.now, Order::Rest(true));
-    host.done();
+    host.order(Order::Rest(true));
     let said = host.silent(10 * S);
     let gone = died(&said).expect("they are gone in the end") - from;
     assert!((5_900_000..7_500_000).contains(&gone), "{gone}");
@@ -247,8 +245,7 @@
     host.now += 9 * S;
     let mut said = Vec::new();
     for id in [8, 9] {
-        said.extend(host.link.order(host.now, Order::Start(setup(id))));
-        host.done();
+        said.extend(host.order(Order::Start(setup(id))));
     }
     assert_eq!(host.connects.len(), 2, "the second set-up asks for a connection");
     said.extend(host.told(Told::Failed { refused: true }));
@@ -264,12 +261,10 @@
 #[test]
 fn a_second_copy_of_a_refusal_is_not_the_answer_to_the_next_attempt() {
     let mut host = Host::new();
-    host.link.order(host.now, Order::Start(setup(8)));
-    host.done();
+    host.order(Order::Start(setup(8)));
     assert!(matches!(host.hears(&refusal(8))[..], [Input::Ended { id: 8, attempt: 0, .. }]));
     host.wrote.clear();
-    assert!(host.link.order(host.now, Order::Start(again(8, 1))).is_empty());
-    host.done();
+    assert!(host.order(Order::Start(again(8, 1))).is_empty());
     host.pass(S / 20);
     assert!(!host.wrote.contains("INVITE"), "{}", host.wrote);
     assert!(host.hears(&refusal(8)).is_empty());
@@ -285,19 +280,16 @@
 fn a_set_up_that_waits_for_a_copy_is_still_in_hand() {
     let mut host = Host::new();
     for (call, order) in [(8, Order::Cancel(8)), (9, Order::Drain)] {
-        host.link.order(host.now, Order::Start(setup(call)));
-        host.done();
+        host.order(Order::Start(setup(call)));
         host.hears(&refusal(call));
-        host.link.order(host.now, Order::Start(again(call, 1)));
-        host.done();
+        host.order(Order::Start(again(call, 1)));
         host.wrote.clear();
         let said = host.link.order(host.now, order);
         assert_eq!(said.len(), usize::from(call == 9));
         host.pass(S / 5);
         assert!(host.wrote.is_empty(), "{}", host.wrote);
     }
-    host.link.order(host.now, Order::Start(setup(10)));
-    host.done();
+    host.order(Order::Start(setup(10)));
     host.hears(&refusal(10));
     host.link.order(host.now, Order::Start(again(10, 1)));
     let ends = host.link.end();
@@ -323,8 +315,7 @@
     let mut host = Host::new();
     let first = host.connects[0].0;
     for call in [8, 9] {
-        host.link.order(host.now, Order::Start(setup(call)));
-        host.done();
+        host.order(Order::Start(setup(call)));
     }
     let ends = host.link.told(host.now, first, Told::Message(decoded(&stood(8, ""))));
     assert!(matches!(ends[..], [Input::Ended { .. }, Input::Ended { .. }]), "{ends:?}");
@@ -346,15 +337,13 @@
     let mut host = Host::new();
     let first = host.connects[0].0;
     for call in [8, 9] {
-        host.link.order(host.now, Order::Start(setup(call)));
-        host.done();
+        host.order(Order::Start(setup(call)));
     }
     host.now += S / 100;
     host.told(Told::Up);
     host.now += S / 100;
     host.link.told(host.now, first, Told::Message(decoded(&notify(60, 100))));
-    host.link.order(host.now, Order::Release(7, 16));
-    host.done();
+    host.order(Order::Release(7, 16));
     assert_eq!(host.wrote.matches(&bye(7)).count(), 1, "{}", host.wrote);
     host.wrote.clear();
     host.link.told(host.now + S / 100, first, Told::Closed);
@@ -370,8 +359,7 @@
     host.link.order(host.now, Order::Cancel(8));
     host.now += S;
     host.link.order(host.now, Order::Release(7, 16));
-    host.link.order(host.now, Order::Start(setup(9)));
-    host.done();
+    host.order(Order::Start(setup(9)));
     assert_eq!(host.connects.len(), 2, "the first has said nothing since the set-up");
     host.wrote.clear();
     host.now += S / 10;
--- a/rig/src/emulate.rs
+++ b/rig/src/emulate.rs
@@ -292,7 +292,7 @@
             (of.memory_mb as usize) << 20,
             20_000,
             Duration::from_millis(500),
-            self.settings.classes.iter().map(|c| c.limit).max().unwrap_or_default(),
+            self.settings.longest(),
         );
         let shared =
             Shared { classes: vec![CLASS.to_owned()], gives_wait: self.gives_wait, limits: limits.clone() };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -108,6 +108,13 @@
     pub own_place: Option<Place>,
 }
 
+impl Settings {
+    /// The longest that a caller of any class keeps trying.
+    pub fn longest(&self) -> Time {
+        self.classes.iter().map(|c| c.limit).max().unwrap_or_default()
+    }
+}
+
 /// State of a listed server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
