Adopt the inherited listening socket, wait for an address in use, and say when clients are taken

Callers saw no proxy during an upgrade: each new process bound an address that the platform or its predecessor held, and ended (exit 1, address in use). PROXY_FD and the management address were read nowhere, so that with the socket alone mended no process could have said yes.

A start rests on nobody's end now: PROXY_FD's socket is taken under a descriptor of its own (filedescriptor's dup; pidfd_getfd of rustix was weighed, which filters of system calls commonly deny; re-executing with LISTEN_FDS would start the program twice); without it an address in use is waited for, 9 s at most. A bad descriptor is one clear line and exit 1. The management line (mgmt, PROXY_MGMT) answers readyz; its connections have seats of their own. Neither it nor a test at the clients' address says yes before the list is known. start() is split into startup, handover, readiness, management and signals, with typed errors.

--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -12,6 +12,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub channel: SocketAddr,
+    /// Where operators call, if the configuration says.
+    pub management: Option<SocketAddr>,
     pub seed: u64,
     pub sockets: usize,
     /// In bytes.
@@ -55,6 +57,7 @@
         name: need(&v, "name", json::word)?,
         listen: need(&v, "listen", address)?,
         channel: need(&v, "channel", address)?,
+        management: json::maybe(&v, "mgmt", address)?,
         seed: need(&v, "seed", seed)?,
         sockets: need(&v, "limits.sockets", json::count)? as usize,
         memory: (need(&v, "limits.memory_mb", json::count)? as usize) << 20,
--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -5,6 +5,7 @@
 use crate::engine::{End, Engine, Input, Order, Output, Reply, Source};
 use crate::limits::Limits;
 use crate::net::unix_now;
+use crate::readiness::Readiness;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use fernspan_core::{CallId, Entry, ListKind, Outcome, ServerId, State, Time};
@@ -63,10 +64,17 @@
     links: BTreeMap<ServerId, Link>,
     callers: HashMap<Source, Caller>,
     undelivered: VecDeque<(CallId, Reply)>,
+    readiness: Readiness,
 }
 
 impl<B: Backend> Core<B> {
-    pub fn new(engine: Engine, backend: B, limits: Limits, queue: Sender<Message>) -> Self {
+    pub fn new(
+        engine: Engine,
+        backend: B,
+        limits: Limits,
+        queue: Sender<Message>,
+        readiness: Readiness,
+    ) -> Self {
         Core {
             engine,
             backend,
@@ -77,6 +85,7 @@
             links: BTreeMap::new(),
             callers: HashMap::new(),
             undelivered: VecDeque::new(),
+            readiness,
         }
     }
 
@@ -177,6 +186,9 @@
             self.numbers.retain(|_, number| listed(number));
         }
         self.engine.handle(now, Input::List(kind, entries), out);
+        if kind != ListKind::Changes {
+            self.readiness.server_list_known();
+        }
     }
 
     fn carry_out(&mut self, now: Time, out: Vec<Output>) {
@@ -304,7 +316,7 @@
         let engine = engine(&limits);
         let (queue, messages) = async_channel::unbounded();
         let stuck = Stuck::default();
-        let core = Core::new(engine, stuck.clone(), limits, queue.clone());
+        let core = Core::new(engine, stuck.clone(), limits, queue.clone(), Readiness::default());
         let (replies, _answers) = async_channel::unbounded();
         let executor = LocalExecutor::new();
         let _core = executor.spawn(core.run(messages));
@@ -348,7 +360,7 @@
         limits.caller_queue = 2;
         let engine = engine(&limits);
         let (queue, messages) = async_channel::unbounded();
-        let core = Core::new(engine, Stuck::default(), limits, queue.clone());
+        let core = Core::new(engine, Stuck::default(), limits, queue.clone(), Readiness::default());
         let (replies, answers) = async_channel::unbounded();
         let executor = LocalExecutor::new();
         let _core = executor.spawn(core.run(messages));
--- a/proxy/src/isup/front.rs
+++ b/proxy/src/isup/front.rs
@@ -5,6 +5,7 @@
 use crate::hub;
 use crate::limits::Limits;
 use crate::net::{Next, Seat, accept_all, messages, unix_now, within};
+use crate::readiness::Readiness;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -34,6 +35,8 @@
     pub names: Names,
     pub limits: Limits,
     pub core: Sender<hub::Message>,
+    /// What a test tells.
+    pub readiness: Readiness,
     /// Dropped with the last task that serves.
     pub _open: Sender<Infallible>,
 }
@@ -327,7 +330,10 @@
                 table.open.remove(&call);
                 Read::Input(Input::Left(call, source))
             }
-            TEST => Read::Answer(Message::new(TESTED, call).with(CAUSE, &[1])),
+            TEST => {
+                let passed = u8::from(self.readiness.serves().is_ok());
+                Read::Answer(Message::new(TESTED, call).with(CAUSE, &[passed]))
+            }
             HEARD => {
                 table.released.retain(|(id, ..)| *id != call);
                 Read::Nothing
@@ -557,7 +563,7 @@
                 tenants: Vec::new(),
                 hold_off: None,
             };
-            let front = Rc::new(Front { names, limits, core, _open: open });
+            let front = Rc::new(Front { names, limits, core, readiness: Readiness::default(), _open: open });
             let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a free port");
             let at = listener.get_ref().local_addr().expect("bound");
             let executor = Rc::new(LocalExecutor::new());
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -104,6 +104,15 @@
     pub flush: Duration,
     /// Pause of a listener that cannot accept now.
     pub pause: Duration,
+    /// An address that is in use at the start is waited for so long. A predecessor ends within 4 s of its SIGTERM, and
+    /// the platform wants a yes within 10 s.
+    pub bind_timeout: Duration,
+    /// How often an address in use is tried.
+    pub bind_retry_interval: Duration,
+    /// Connections of operators at most.
+    pub management_connections: usize,
+    /// An operator's line is whole by then.
+    pub management_line_timeout: Duration,
 }
 
 impl Limits {
@@ -163,6 +172,10 @@
             look: 10_000,
             flush: Duration::from_millis(250),
             pause: Duration::from_millis(20),
+            bind_timeout: Duration::from_secs(9),
+            bind_retry_interval: Duration::from_millis(20),
+            management_connections: (sockets / 16).clamp(4, 32),
+            management_line_timeout: Duration::from_secs(1),
         }
     }
 }
--- /dev/null
+++ b/proxy/src/startup.rs
@@ -0,0 +1,303 @@
+//! The start of the program: its configuration, its sockets and its tasks; and what its signals ask for after that.
+//!
+//! A start rests on nobody else's end: sockets are inherited or waited for ([`crate::handover`]). It says that it takes
+//! clients only once it does ([`crate::readiness`]).
+
+use crate::engine::Engine;
+use crate::handover::{self, ListenError};
+use crate::hub::{Core, Message};
+use crate::limits::Limits;
+use crate::management::Management;
+use crate::net::within;
+use crate::readiness::Readiness;
+use crate::signals::{Request, Requests};
+use crate::{config, dns, feed, isup, operator, sip};
+use async_channel::{Receiver, Sender};
+use async_executor::{LocalExecutor, Task};
+use async_io::Async;
+use fernspan_core::ListKind;
+use futures_lite::{future, pin};
+use std::convert::Infallible;
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What all tasks of the program run on.
+pub type Executor = Rc<LocalExecutor<'static>>;
+
+/// Why the program cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// No file is named.
+    #[error("neither PROXY_CONFIG nor PROXY_ENUM names a file")]
+    NothingToServe,
+    /// A file cannot be read.
+    #[error("{path}: {source}")]
+    Unreadable {
+        /// The file.
+        path: String,
+        /// What the system says of it.
+        source: io::Error,
+    },
+    /// A file holds what cannot be meant.
+    #[error("{path}: {reason}")]
+    Configuration {
+        /// The file.
+        path: String,
+        /// The field, and what is wrong with it.
+        reason: String,
+    },
+    /// There is no listening socket.
+    #[error(transparent)]
+    Listen(#[from] ListenError),
+    /// The system gives no signals or no random numbers.
+    #[error("{what}: {source}")]
+    System {
+        /// What it does not give.
+        what: &'static str,
+        /// What it says.
+        source: io::Error,
+    },
+}
+
+/// A core at work, and what serves it.
+struct Service {
+    /// The way to the core.
+    queue: Sender<Message>,
+    core: Task<()>,
+    /// What takes connections.
+    front: Vec<Task<()>>,
+    /// Closed once the last connection has ended.
+    ended: Receiver<Infallible>,
+    /// Time for the last answers to leave.
+    flush: Duration,
+    readiness: Readiness,
+}
+
+/// Where a reload is read from, and who is told what it says.
+struct Reload {
+    path: String,
+    channel_addresses: Sender<SocketAddr>,
+}
+
+/// All that runs after the start.
+struct Proxy {
+    services: Vec<Service>,
+    reload: Option<Reload>,
+}
+
+/// Reads what is configured and serves until SIGTERM.
+///
+/// # Errors
+/// The start has failed.
+pub async fn start(executor: Executor) -> Result<(), StartError> {
+    // First of all: until then a signal ends the process.
+    let mut requests = Requests::new().map_err(|source| StartError::System { what: "no signals", source })?;
+    let built = Proxy::build(&executor);
+    pin!(built);
+    let mut reload_asked = false;
+    let proxy = loop {
+        let signalled = async { Err(requests.next().await) };
+        match future::or(async { Ok(built.as_mut().await) }, signalled).await {
+            Ok(proxy) => break proxy?,
+            Err(Request::Reload) => reload_asked = true,
+            Err(Request::ShutDown) => return Ok(()),
+        }
+    };
+    if reload_asked {
+        proxy.read_again();
+    }
+    proxy.serve(requests).await;
+    Ok(())
+}
+
+impl Proxy {
+    async fn build(executor: &Executor) -> Result<Proxy, StartError> {
+        let mut services = Vec::new();
+        let mut reload = None;
+        if let Some((path, text)) = file_of("PROXY_CONFIG")? {
+            let (service, follows) = platform(path, &text, executor).await?;
+            services.push(service);
+            reload = Some(follows);
+        }
+        if let Some((path, text)) = file_of("PROXY_ENUM")? {
+            services.push(enumeration(path, text, executor).await?);
+        }
+        if services.is_empty() {
+            return Err(StartError::NothingToServe);
+        }
+        Ok(Proxy { services, reload })
+    }
+
+    /// Serves until the last service has ended after a signal.
+    async fn serve(self, mut requests: Requests) {
+        let Proxy { services, reload } = self;
+        let told: Vec<(Sender<Message>, Readiness)> =
+            services.iter().map(|s| (s.queue.clone(), s.readiness.clone())).collect();
+        let signalled = async {
+            loop {
+                match requests.next().await {
+                    Request::Reload => read_again(reload.as_ref()),
+                    Request::ShutDown => {
+                        for (queue, readiness) in &told {
+                            readiness.shutting_down();
+                            let _ = queue.send(Message::Stop).await;
+                        }
+                    }
+                }
+            }
+        };
+        let served = async {
+            for service in services {
+                service.core.await;
+                // The last answers are with the connections' writers by now.
+                drop(service.front);
+                within(service.flush, async { while service.ended.recv().await.is_ok() {} }).await;
+            }
+        };
+        future::or(served, signalled).await;
+    }
+
+    fn read_again(&self) {
+        read_again(self.reload.as_ref());
+    }
+}
+
+/// The file that a variable names, where it is set.
+fn file_of(variable: &str) -> Result<Option<(String, String)>, StartError> {
+    let Ok(path) = std::env::var(variable) else { return Ok(None) };
+    match std::fs::read_to_string(&path) {
+        Ok(text) => Ok(Some((path, text))),
+        Err(source) => Err(StartError::Unreadable { path, source }),
+    }
+}
+
+/// The command channel may have moved. All else stays as it was started; a bad file changes nothing, and the operator's
+/// file is looked at all the time.
+fn read_again(reload: Option<&Reload>) {
+    let Some(Reload { path, channel_addresses }) = reload else { return };
+    let text = std::fs::read_to_string(path).map_err(|e| e.to_string());
+    match text.and_then(|text| config::read(&text)) {
+        Ok(config) => {
+            crate::log!("{path}: read again, the command channel is at {}", config.channel);
+            let _ = channel_addresses.force_send(config.channel);
+        }
+        Err(e) => crate::log!("{path}: {e}; the configuration stays as it is"),
+    }
+}
+
+/// The platform's protocol: callers in front, setup servers behind, the command channel and the management line beside
+/// them.
+async fn platform(path: String, text: &str, executor: &Executor) -> Result<(Service, Reload), StartError> {
+    let config =
+        config::read(text).map_err(|reason| StartError::Configuration { path: path.clone(), reason })?;
+    let longest = config.start.settings.longest();
+    let limits = Limits::new(config.sockets, config.memory, config.open_calls, config.connect, longest);
+    let readiness = Readiness::default();
+    if let Some(address) = config.management.or_else(management_address) {
+        let management = Management { limits: limits.clone(), readiness: readiness.clone() };
+        executor.spawn(Rc::new(management).listen(address, executor.clone())).detach();
+    }
+    let (queue, messages) = async_channel::bounded(limits.core_queue);
+    let classes = &config.start.settings.classes;
+    let names = isup::front::Names {
+        patience: classes.iter().map(|c| c.limit).collect(),
+        places: classes.iter().map(|c| c.places.clone()).collect(),
+        hold_off: config.start.settings.max_hold_off,
+        classes: config.classes.clone(),
+        tenants: config.tenants,
+    };
+    let shared = sip::state::Shared {
+        classes: config.classes,
+        gives_wait: config.start.gives_wait,
+        limits: limits.clone(),
+    };
+    let setups = sip::link::Setups { shared: Rc::new(shared), executor: executor.clone() };
+    let engine = Engine::new(config.start.settings, config.seed, &limits);
+    let core = Core::new(engine, setups, limits.clone(), queue.clone(), readiness.clone());
+    let core = executor.spawn(core.run(messages));
+    let inherited = std::env::var("PROXY_FD").ok();
+    let listener = handover::client_listener(inherited.as_deref(), config.listen, &limits).await?;
+
+    // The events of the start go in before anybody can ask, so that a test passes only when all is ready.
+    for event in config.known {
+        let kind = if event.kind == ListKind::Whole { ListKind::Saved } else { event.kind };
+        tell(&queue, Message::List(kind, event.servers)).await;
+    }
+    let (channel_addresses, moves) = async_channel::bounded(1);
+    let feed = feed::Feed {
+        addr: config.channel,
+        zones: config.zones,
+        limits: limits.clone(),
+        core: queue.clone(),
+        last: config.cursor,
+        moves,
+    };
+    executor.spawn(feed.run()).detach();
+    crate::log!("{}: serving on {}", config.name, address_of(&listener, config.listen));
+    let (open, ended) = async_channel::bounded(1);
+    let flush = limits.flush;
+    let front =
+        isup::front::Front { names, limits, core: queue.clone(), readiness: readiness.clone(), _open: open };
+    let front = vec![executor.spawn(isup::front::listen(Rc::new(front), listener, executor.clone()))];
+    readiness.accepting();
+    let service = Service { queue, core, front, ended, flush, readiness };
+    Ok((service, Reload { path, channel_addresses }))
+}
+
+/// The management line's address, where the configuration has none. A process serves without one as well.
+fn management_address() -> Option<SocketAddr> {
+    let value = std::env::var("PROXY_MGMT").ok()?;
+    let address = value.parse();
+    if address.is_err() {
+        crate::log!("PROXY_MGMT is no address: {value:?}; there is no management line");
+    }
+    address.ok()
+}
+
+/// ENUM look-ups: askers in front, name servers behind, the operator's file beside them.
+async fn enumeration(path: String, text: String, executor: &Executor) -> Result<Service, StartError> {
+    let operator =
+        operator::read(&text).map_err(|reason| StartError::Configuration { path: path.clone(), reason })?;
+    let limits = operator.limits();
+    let readiness = Readiness::default();
+    let (queue, messages) = async_channel::bounded(limits.core_queue);
+    let backend = dns::link::NameServers { limits: limits.clone(), executor: executor.clone() };
+    let seed = match operator.seed {
+        Some(seed) => seed,
+        None => getrandom::u64()
+            .map_err(|e| StartError::System { what: "no random numbers", source: io::Error::other(e) })?,
+    };
+    let engine = Engine::new(operator.settings, seed, &limits);
+    let core = Core::new(engine, Rc::new(backend), limits.clone(), queue.clone(), readiness.clone());
+    let core = executor.spawn(core.run(messages));
+
+    tell(&queue, Message::List(ListKind::Saved, operator.cluster.servers)).await;
+    executor.spawn(operator::watch(path.into(), text, limits.watch, queue.clone())).detach();
+    let listener = handover::bind(operator.listen, &limits).await?;
+    let at = address_of(&listener, operator.listen);
+    let socket = Async::<UdpSocket>::bind(at).map_err(|source| ListenError::Bind { address: at, source })?;
+    crate::log!("ENUM: serving on {at}");
+    let patience = operator.patience.as_micros() as u64;
+    let flush = limits.flush;
+    let (open, ended) = async_channel::bounded(1);
+    let enumerator = dns::front::Front::new(operator.zone, patience, limits, queue.clone(), open);
+    let enumerator = Rc::new(enumerator);
+    let front = vec![
+        executor.spawn(enumerator.clone().datagrams(socket)),
+        executor.spawn(enumerator.connections(listener, executor.clone())),
+    ];
+    readiness.accepting();
+    Ok(Service { queue, core, front, ended, flush, readiness })
+}
+
+/// The address that a socket listens on.
+fn address_of(listener: &Async<TcpListener>, configured: SocketAddr) -> SocketAddr {
+    listener.get_ref().local_addr().unwrap_or(configured)
+}
+
+/// Puts a message into the core's queue; one that has ended needs none.
+async fn tell(queue: &Sender<Message>, message: Message) {
+    let _ = queue.send(message).await;
+}
--- a/proxy/tests/upgrade/mod.rs
+++ b/proxy/tests/upgrade/mod.rs
@@ -1,6 +1,6 @@
 //! A process that starts beside the one it replaces, on a listening socket that the platform holds for both.
 
-use crate::play::{PATIENCE, Program, program_with_descriptor_4};
+use crate::play::{PATIENCE, Program, accept, program, program_with_descriptor_4};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -31,14 +31,24 @@
         let inherited = self.listener.try_clone().expect("a second descriptor");
         let mut command = program_with_descriptor_4(inherited.into());
         command.env("PROXY_FD", "4").env("PROXY_MGMT", management.to_string());
-        let text = include_str!("../recorded/config.json")
-            .replace("SERVERS", "")
-            .replace("CHANNEL", "127.0.0.1:1")
-            .replace("127.0.0.1:0", &self.clients_address().to_string());
-        (Program::start_by(command, "PROXY_CONFIG", &text), management)
+        (Program::start_by(command, "PROXY_CONFIG", &configuration(self.clients_address())), management)
     }
 }
 
+/// The configuration of a process that listens there.
+fn configuration(clients: SocketAddr) -> String {
+    include_str!("../recorded/config.json")
+        .replace("SERVERS", "")
+        .replace("CHANNEL", "127.0.0.1:1")
+        .replace("127.0.0.1:0", &clients.to_string())
+}
+
+/// Asks a process to end.
+fn terminate(program: &Program) {
+    let id = program.child.id().to_string();
+    std::process::Command::new("kill").args(["-TERM", &id]).status().expect("kill runs");
+}
+
 /// An address that nobody listens at; another process may take it meanwhile, which fails the test.
 fn free_address() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
@@ -88,8 +98,103 @@
     passes_a_test(platform.clients_address());
     let (mut new, new_management) = platform.start();
     wait_until_ready(&mut new, new_management);
-    let id = old.child.id().to_string();
-    std::process::Command::new("kill").args(["-TERM", &id]).status().expect("kill runs");
+    terminate(&old);
     assert_eq!(old.exit_code(), Some(0));
     passes_a_test(platform.clients_address());
 }
+
+/// Guards against a start that rests on its predecessor having gone: without an inherited socket, an address in use is
+/// waited for.
+#[test]
+fn a_start_waits_for_the_address_of_its_predecessor() {
+    let clients = free_address();
+    let start = || Program::start_by(program(), "PROXY_CONFIG", &configuration(clients));
+    let mut old = start();
+    assert_eq!(old.address(), clients);
+    let new = start();
+    assert_eq!(new.says(), format!("{clients} is in use: waiting for it"));
+    terminate(&old);
+    assert_eq!(old.exit_code(), Some(0));
+    assert_eq!(new.address(), clients);
+    passes_a_test(clients);
+}
+
+/// Guards against a start that ends though it was only asked to end: it waits for an address, and takes no client.
+#[test]
+fn a_start_that_waits_ends_when_asked() {
+    let held = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let text = configuration(held.local_addr().expect("bound"));
+    let mut waits = Program::start_by(program(), "PROXY_CONFIG", &text);
+    assert!(waits.says().ends_with("waiting for it"));
+    terminate(&waits);
+    assert_eq!(waits.exit_code(), Some(0));
+}
+
+/// Guards against a process that serves where no client comes, because what it inherits is not what was meant.
+#[test]
+fn a_bad_descriptor_is_a_clear_line_and_an_exit() {
+    let bound = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let at = bound.local_addr().expect("bound");
+    let connected = TcpStream::connect(at).expect("connected");
+    for (value, line) in [
+        ("four", "PROXY_FD cannot be \"four\""),
+        ("-1", "PROXY_FD cannot be \"-1\""),
+        ("0", "PROXY_FD cannot be \"0\""),
+        ("77", "PROXY_FD names descriptor 77: Bad file descriptor"),
+        ("4", "PROXY_FD names descriptor 4, which is no listening TCP socket"),
+    ] {
+        let inherited = connected.try_clone().expect("a second descriptor");
+        let mut command = program_with_descriptor_4(inherited.into());
+        command.env("PROXY_FD", value);
+        let mut program = Program::start_by(command, "PROXY_CONFIG", &configuration(at));
+        let said = program.says();
+        assert!(said.contains(line), "{value}: {said}");
+        assert_eq!(program.exit_code(), Some(1), "{value}");
+    }
+}
+
+/// Guards against a yes before a set-up would be served: neither operators nor the front are told one before the list of
+/// servers is known.
+#[test]
+fn readiness_waits_for_the_list_of_servers() {
+    let platform = Platform::new();
+    let channel = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let text = configuration(platform.clients_address())
+        .replace("127.0.0.1:1\"", &format!("{}\"", channel.local_addr().expect("bound")))
+        .replace(
+            "\"cursor\":1,\"cmds\":[{\"cursor\":1,\"nodes\":{\"version\":1,\"full\":true,\"servers\":[]}}]",
+            "\"cursor\":0,\"cmds\":[]",
+        );
+    let management = free_address();
+    let inherited = platform.listener.try_clone().expect("a second descriptor");
+    let mut command = program_with_descriptor_4(inherited.into());
+    command.env("PROXY_FD", "4").env("PROXY_MGMT", management.to_string());
+    let mut program = Program::start_by(command, "PROXY_CONFIG", &text);
+    let mut follows = accept(&channel).expect("the program follows the command channel");
+    let mut resume = [0; 9];
+    follows.read_exact(&mut resume).expect("it resumes");
+    assert_eq!(&resume, b"resume 0\n");
+    assert!(manage(management, "readyz").is_ok_and(|a| a.starts_with("error")), "no list is known");
+    follows
+        .write_all(b"{\"cursor\":1,\"nodes\":{\"version\":1,\"full\":true,\"servers\":[]}}\n")
+        .expect("sent");
+    wait_until_ready(&mut program, management);
+}
+
+/// What operators write wrongly gets `error` or a close, and holds nobody up.
+#[test]
+fn what_is_no_call_gets_an_error() {
+    let platform = Platform::new();
+    let (mut program, management) = platform.start();
+    wait_until_ready(&mut program, management);
+    let silent: Vec<TcpStream> =
+        (0..200).map(|_| TcpStream::connect(management).expect("connected")).collect();
+    for call in ["", "ready", &"x".repeat(100_000)] {
+        let answer = manage(management, call);
+        assert!(answer.as_ref().map_or(true, |a| a.starts_with("error")), "{answer:?}");
+    }
+    let begun = Instant::now();
+    assert_eq!(manage(management, "readyz").expect("an answer"), "done\n");
+    assert!(begun.elapsed() < Duration::from_secs(1), "{:?}", begun.elapsed());
+    drop(silent);
+}
