--- a/proxy/src/dns/front.rs
+++ b/proxy/src/dns/front.rs
@@ -115,7 +115,7 @@
                     Ok(found) => found,
                     // Guards against an asker that is gone: the error is its, not the socket's.
                     Err(e) => {
-                        crate::log!("ENUM: {e}");
+                        tracing::warn!("ENUM: {e}");
                         Timer::after(self.limits.pause).await;
                         continue;
                     }
@@ -231,7 +231,7 @@
     if let Some(bytes) = answer
         && let Err(e) = socket.send_to(bytes, peer).await
     {
-        crate::log!("ENUM: {e}");
+        tracing::warn!("ENUM: {e}");
     }
 }
 
--- a/proxy/src/dns/link.rs
+++ b/proxy/src/dns/link.rs
@@ -28,7 +28,7 @@
     fn open(&self, server: ServerId, addr: &str, orders: Receiver<Order>, core: Sender<Message>) {
         match addr.parse() {
             Ok(addr) => self.executor.spawn(run(self.clone(), server, addr, core, orders)).detach(),
-            Err(_) => crate::log!("name server {server}: no address: {addr}"),
+            Err(_) => tracing::warn!(server, addr, "name server without an address"),
         }
     }
 }
--- a/proxy/src/engine.rs
+++ b/proxy/src/engine.rs
@@ -5,6 +5,7 @@
 //! to a server that drains.
 
 use crate::limits::Limits;
+use crate::reasons::{AnswerReason, Note, WithholdReason};
 use fernspan_core::{
     Action, CallId, Class, Controller, Entry, Event, ListKind, NewCall, Outcome, Place, Reason, Report,
     ServerId, State, Time,
@@ -161,7 +162,7 @@
     /// To a caller; without a source, on any connection from callers.
     Reply(Option<Source>, CallId, Reply),
     Order(ServerId, Order),
-    Log(String),
+    Note(Note),
 }
 
 enum Stage {
@@ -320,12 +321,14 @@
         // Guards against an id that is taken: the first set-up keeps the one answer that is its own, and the
         // other, from another connection, fails.
         if self.calls.contains_key(&r.id) {
+            out.push(Output::Note(Note::Failed { call: r.id, reason: AnswerReason::IdTaken }));
             out.push(Output::Reply(Some(r.source), r.id, Reply::Failed));
             return;
         }
         // Guards against a queue without bounds in front of slow servers.
         if self.open() >= self.most_open {
             self.ended.add(r.id);
+            out.push(Output::Note(Note::Refused { call: r.id, reason: AnswerReason::TooManyOpen }));
             out.push(Output::Reply(Some(r.source), r.id, Reply::Refused(self.hold_off)));
             return;
         }
@@ -437,7 +440,7 @@
             // had its time, and stands for a caller after it is over.
             Some((_, Stage::Open { out: attempt, .. })) if attempt.is_some_and(|(_, at, _)| at == server) => {
                 let Some((n, ..)) = attempt.take() else { return };
-                self.answer(id, Reply::Failed, out);
+                self.answer(id, Reply::Failed, AnswerReason::ReleasedByServer, out);
                 self.tell(finished(id, n, server, outcome, report), out);
             }
             Some(_) => {}
@@ -525,13 +528,13 @@
             // Guards against a caller that is told to try again what may be done already.
             let refusable = !may_have_run || self.refusable.get(*class).is_some_and(|r| *r);
             let reply = if refusable { Reply::Refused(self.hold_off) } else { Reply::Failed };
-            self.answer(id, reply, out);
+            self.answer(id, reply, AnswerReason::Overdue, out);
             self.tell(Event::Left(id), out);
         }
     }
 
     /// The one final answer of a call that does not stand.
-    fn answer(&mut self, id: CallId, reply: Reply, out: &mut Vec<Output>) {
+    fn answer(&mut self, id: CallId, reply: Reply, reason: AnswerReason, out: &mut Vec<Output>) {
         let Some(Call { source, stage: Stage::Open { deadline, out: attempt, .. }, .. }) =
             self.calls.get(&id)
         else {
@@ -541,6 +544,10 @@
         if let Some((_, server, _)) = attempt {
             out.push(Output::Order(*server, Order::Cancel(id)));
         }
+        out.push(Output::Note(match reply {
+            Reply::Refused(_) => Note::Refused { call: id, reason },
+            _ => Note::Failed { call: id, reason },
+        }));
         out.push(Output::Reply(Some(*source), id, reply));
         self.calls.remove(&id);
         self.ended.add(id);
@@ -570,13 +577,15 @@
                     return self.end_attempt(call, attempt, server, End::plain(Outcome::Cancelled));
                 }
             }
-            Action::Refuse { call, hold_off } => self.answer(call, Reply::Refused(hold_off), out),
-            Action::Fail(call) => self.answer(call, Reply::Failed, out),
+            Action::Refuse { call, hold_off } => {
+                self.answer(call, Reply::Refused(hold_off), AnswerReason::Decision, out);
+            }
+            Action::Fail(call) => self.answer(call, Reply::Failed, AnswerReason::Decision, out),
             Action::Timer { at, token } => {
                 self.timers.insert((at, token));
             }
             Action::Rest { server, rest } => out.push(Output::Order(server, Order::Rest(rest))),
-            Action::Log(text) => out.push(Output::Log(text)),
+            Action::Log(text) => out.push(Output::Note(Note::Controller(text))),
             // Guards servers that drain or are gone, and all where the settings forbid it.
             Action::Probe(server) => match self.may_probe && self.is_ready(server) {
                 true => out.push(Output::Order(server, Order::Probe)),
@@ -605,7 +614,19 @@
         }
         let n = *attempts;
         *attempts += 1;
-        if !ready || n >= self.attempt_limit || now < *not_before || now >= *deadline {
+        let withheld = if !ready {
+            Some(WithholdReason::ServerNotServing)
+        } else if n >= self.attempt_limit {
+            Some(WithholdReason::AttemptLimit)
+        } else if now < *not_before {
+            Some(WithholdReason::ReleaseWait)
+        } else if now >= *deadline {
+            Some(WithholdReason::Overdue)
+        } else {
+            None
+        };
+        if let Some(reason) = withheld {
+            out.push(Output::Note(Note::Withheld { call: id, attempt: n, server, reason }));
             return Some(Event::Ended {
                 call: id,
                 attempt: n,
--- a/proxy/src/feed.rs
+++ b/proxy/src/feed.rs
@@ -72,7 +72,7 @@
             Err(_) => {
                 let value = json::parse(text).map_err(|_| WireError::Malformed("line is no JSON"))?;
                 let event = event(&value, &self.zones).map_err(|e| {
-                    crate::log!("command channel: {e}");
+                    tracing::warn!("command channel: {e}");
                     WireError::Malformed("event")
                 })?;
                 Line::Event(event)
@@ -101,7 +101,7 @@
         loop {
             let followed = async {
                 if let Err(e) = self.follow().await {
-                    crate::log!("command channel: {e}");
+                    tracing::warn!("command channel: {e}");
                 }
                 Timer::after(drawn(self.limits.feed_retry)).await;
                 None
--- a/proxy/src/handover.rs
+++ b/proxy/src/handover.rs
@@ -62,7 +62,7 @@
     let listener = adopt(value)?;
     let at = listener.get_ref().local_addr().ok();
     if at != Some(address) {
-        crate::log!("the inherited socket listens on {at:?}, and not on {address} as configured");
+        tracing::warn!(?at, configured = %address, "the inherited socket listens on another address");
     }
     Ok(listener)
 }
@@ -99,7 +99,7 @@
             Ok(listener) => return Ok(listener),
             Err(e) if e.kind() == io::ErrorKind::AddrInUse && begun.elapsed() < limits.bind_timeout => {
                 if !waits {
-                    crate::log!("{address} is in use: waiting for it");
+                    tracing::warn!("{address} is in use: waiting for it");
                 }
                 waits = true;
                 Timer::after(limits.bind_retry_interval).await;
--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -2,10 +2,11 @@
 //! its own next timer. What it hands on never waits for room: set-ups and idle words that another task's queue has none
 //! for are that task's trouble, and what ends something always goes in.
 
-use crate::engine::{End, Engine, Input, Order, Output, Reply, Source};
+use crate::engine::{End, Engine, Input, Order, Output, Reply, Setup, Source};
 use crate::limits::Limits;
 use crate::net::unix_now;
 use crate::readiness::Readiness;
+use crate::reasons::Hex;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use fernspan_core::{CallId, Entry, ListKind, Outcome, ServerId, State, Time};
@@ -113,6 +114,7 @@
                     if let Input::SourceGone(source) = input {
                         self.callers.remove(&source);
                     }
+                    log_input(&input);
                     self.engine.handle(now, input, &mut out);
                 }
                 Some(Message::Open(source, replies)) => self.caller_opened(source, replies),
@@ -168,6 +170,7 @@
                 }
             };
             let entry = Entry { server: number, ..listed.entry };
+            tracing::debug!(server = number, addr = listed.addr, state = ?entry.state, "listed");
             // An id is a server; an address is not: it may have another server's name by now.
             let moved = self.links.get(&number).is_some_and(|l| l.addr != listed.addr);
             if moved || entry.state == State::Gone {
@@ -205,6 +208,7 @@
                     }
                 }
                 Output::Order(server, order) => {
+                    log_order(server, &order);
                     // Set-ups alone are bounded. What calls them off, a drain and a release have to get through, and
                     // of these there are no more than calls.
                     let starts = matches!(order, Order::Start(_));
@@ -222,7 +226,7 @@
                         todo.extend(more);
                     }
                 }
-                Output::Log(text) => crate::log!("{text}"),
+                Output::Note(note) => note.log(),
             }
         }
     }
@@ -257,6 +261,36 @@
     }
 }
 
+/// What has become of an attempt, and of a server's process.
+fn log_input(input: &Input) {
+    match input {
+        Input::Ended { id, attempt, server, end } => {
+            let End { outcome, reason, .. } = end;
+            tracing::info!(call = %Hex(*id), attempt, server, ?outcome, ?reason, "attempt ended");
+        }
+        Input::Died(server) => tracing::info!(server, "server process gone: what stood there is over"),
+        Input::Over { id, server, cause, .. } => {
+            tracing::debug!(call = %Hex(*id), server, cause, "released by its server");
+        }
+        Input::Left(id, connection) => {
+            tracing::debug!(call = %Hex(*id), connection, "released by its caller")
+        }
+        _ => {}
+    }
+}
+
+/// Attempts as they go out: those after the first are retries.
+fn log_order(server: ServerId, order: &Order) {
+    match order {
+        Order::Start(Setup { id, attempt: 0, .. }) => {
+            tracing::debug!(call = %Hex(*id), server, "first attempt")
+        }
+        Order::Start(Setup { id, attempt, .. }) => tracing::info!(call = %Hex(*id), attempt, server, "retry"),
+        Order::Cancel(id) => tracing::debug!(call = %Hex(*id), server, "attempt given up"),
+        _ => {}
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/proxy/src/isup/front.rs
+++ b/proxy/src/isup/front.rs
@@ -6,6 +6,7 @@
 use crate::limits::Limits;
 use crate::net::{Next, Seat, accept_all, messages, unix_now, within};
 use crate::readiness::Readiness;
+use crate::reasons::Hex;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -259,7 +260,7 @@
                     Next::End => break Some(End::Gone),
                     Next::Leave => break Some(End::Ours),
                     Next::Failed(e) => {
-                        crate::log!("caller {source}: {e}");
+                        tracing::info!(connection = source, reason = %e, "caller's bytes cannot be read");
                         break Some(if matches!(e, WireError::Io(_)) { End::Gone } else { End::Spoilt });
                     }
                 }
@@ -280,7 +281,7 @@
                     Read::Answer(answer) => own.send(answer).await.is_ok(),
                     Read::Nothing => true,
                     Read::Twice => {
-                        crate::log!("caller {source}: two set-ups under one id");
+                        tracing::info!(connection = source, call = %Hex(message.call), "two set-ups under one id");
                         end.get_or_insert(End::Spoilt);
                         let left = Input::Left(message.call, source);
                         self.core.send(hub::Message::Input(left)).await.is_ok()
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod net;
 pub mod operator;
 pub mod readiness;
+pub mod reasons;
 pub mod signals;
 pub mod sip;
 pub mod startup;
--- a/proxy/src/management.rs
+++ b/proxy/src/management.rs
@@ -70,7 +70,7 @@
             match Async::<TcpListener>::bind(address) {
                 Ok(listener) => return listener,
                 Err(e) if !told => {
-                    crate::log!("management line: cannot listen on {address} yet: {e}");
+                    tracing::warn!(%address, error = %e, "management line: cannot listen yet");
                     told = true;
                 }
                 Err(_) => {}
--- a/proxy/src/net.rs
+++ b/proxy/src/net.rs
@@ -243,7 +243,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
-                crate::log!("accept: {e}");
+                tracing::warn!(error = %e, "accept");
                 Timer::after(limits.pause).await;
                 continue;
             }
--- a/proxy/src/operator.rs
+++ b/proxy/src/operator.rs
@@ -126,7 +126,7 @@
                     return;
                 }
             }
-            Err(e) => crate::log!("{}: {e}; the name servers stay as they are", path.display()),
+            Err(e) => tracing::warn!("{}: {e}; the name servers stay as they are", path.display()),
         }
         text = now;
     }
--- a/proxy/src/signals.rs
+++ b/proxy/src/signals.rs
@@ -30,7 +30,7 @@
             match self.0.next().await {
                 Some(Ok(Signal::Hup)) => return Request::Reload,
                 Some(Ok(_)) => return Request::ShutDown,
-                Some(Err(e)) => crate::log!("signals: {e}"),
+                Some(Err(e)) => tracing::warn!(error = %e, "signals"),
                 None => futures_lite::future::pending().await,
             }
         }
--- a/proxy/src/sip/link.rs
+++ b/proxy/src/sip/link.rs
@@ -28,7 +28,7 @@
     fn open(&self, server: ServerId, addr: &str, orders: Receiver<Order>, core: Sender<hub::Message>) {
         let limits = &self.shared.limits;
         let Ok(addr) = addr.parse() else {
-            crate::log!("server {server}: no address: {addr}");
+            tracing::warn!(server, addr, "no address");
             return;
         };
         let (tell, told) = async_channel::bounded(limits.link_queue);
@@ -38,6 +38,7 @@
             limits: limits.clone(),
             executor: self.executor.clone(),
             addr,
+            server,
             core,
             tell,
             conns: BTreeMap::new(),
@@ -51,6 +52,7 @@
     limits: Limits,
     executor: Rc<LocalExecutor<'static>>,
     addr: SocketAddr,
+    server: ServerId,
     core: Sender<hub::Message>,
     tell: Sender<(u64, Told)>,
     /// What is queued for each connection; one that is dropped here closes.
@@ -111,7 +113,10 @@
                         inputs.extend(self.link.unsent(call));
                     }
                 }
-                Do::Close(conn) => drop(self.conns.remove(&conn)),
+                Do::Close(conn) => {
+                    tracing::debug!(server = self.server, connection = conn, "server connection closed");
+                    drop(self.conns.remove(&conn));
+                }
             }
         }
         for input in inputs {
@@ -125,12 +130,14 @@
         let (write, to_write) = async_channel::unbounded();
         self.conns.insert(id, write);
         let (addr, tell, limits) = (self.addr, self.tell.clone(), self.limits.clone());
+        let server = self.server;
         let task = async move {
             let up = within(limits.connect, Async::<TcpStream>::connect(addr)).await;
             let stream = match up.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into())) {
                 Ok(stream) => stream,
                 Err(e) => {
                     let refused = e.kind() == io::ErrorKind::ConnectionRefused;
+                    tracing::info!(server, connection = id, reason = %e, "server connection failed");
                     let _ = tell.send((id, Told::Failed { refused })).await;
                     return;
                 }
@@ -141,7 +148,7 @@
             // or a give-up that crosses the close of the server's half.
             let ended = Cell::new(false);
             let reading = async {
-                read(&limits, &stream, id, &tell).await;
+                read(&limits, &stream, server, id, &tell).await;
                 ended.set(true);
                 let _ = tell.send((id, Told::Closed)).await;
                 future::pending().await
@@ -156,7 +163,13 @@
     }
 }
 
-async fn read(limits: &Limits, stream: &Async<TcpStream>, id: u64, tell: &Sender<(u64, Told)>) {
+async fn read(
+    limits: &Limits,
+    stream: &Async<TcpStream>,
+    server: ServerId,
+    id: u64,
+    tell: &Sender<(u64, Told)>,
+) {
     let messages = messages(stream, Decoder { most: limits.message }, limits.read, limits.server_rest);
     pin!(messages);
     while let Some(message) = messages.next().await {
@@ -167,7 +180,7 @@
                 }
             }
             Err(e) => {
-                crate::log!("server connection: {e}");
+                tracing::info!(server, connection = id, reason = %e, "server connection closes");
                 return;
             }
         }
--- a/proxy/src/sip/state.rs
+++ b/proxy/src/sip/state.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::engine::{CAUSE_NORMAL, End, Input, Order};
 use crate::limits::Limits;
+use crate::reasons::Hex;
 use fernspan_core::sites::{KEPT, TELLING};
 use fernspan_core::{Outcome, Reason, Report, ServerId, Time};
 use std::cmp::Reverse;
@@ -654,7 +655,7 @@
         // Guards the caller against a description that is noise, and the other set-ups against the connection,
         // which can't be trusted any more. The call may stand there, so it is released.
         if known && status < 300 && !m.describes() {
-            crate::log!("server {}: an answer without a description", self.server);
+            tracing::warn!(server = self.server, call = %Hex(call), "an answer without a description");
             let inputs = self.lose(conn);
             self.release(call, CAUSE_NORMAL);
             return inputs;
--- a/proxy/src/startup.rs
+++ b/proxy/src/startup.rs
@@ -137,7 +137,9 @@
             services.iter().map(|s| (s.queue.clone(), s.readiness.clone())).collect();
         let signalled = async {
             loop {
-                match requests.next().await {
+                let request = requests.next().await;
+                tracing::info!(?request, "signal");
+                match request {
                     Request::Reload => read_again(reload.as_ref()),
                     Request::ShutDown => {
                         for (queue, readiness) in &told {
@@ -180,10 +182,10 @@
     let text = std::fs::read_to_string(path).map_err(|e| e.to_string());
     match text.and_then(|text| config::read(&text)) {
         Ok(config) => {
-            crate::log!("{path}: read again, the command channel is at {}", config.channel);
+            tracing::info!("{path}: read again, the command channel is at {}", config.channel);
             let _ = channel_addresses.force_send(config.channel);
         }
-        Err(e) => crate::log!("{path}: {e}; the configuration stays as it is"),
+        Err(e) => tracing::warn!("{path}: {e}; the configuration stays as it is"),
     }
 }
 
@@ -235,7 +237,7 @@
         moves,
     };
     executor.spawn(feed.run()).detach();
-    crate::log!("{}: serving on {}", config.name, address_of(&listener, config.listen));
+    tracing::info!("{}: serving on {}", config.name, address_of(&listener, config.listen));
     let (open, ended) = async_channel::bounded(1);
     let flush = limits.flush;
     let front =
@@ -251,7 +253,7 @@
     let value = std::env::var("PROXY_MGMT").ok()?;
     let address = value.parse();
     if address.is_err() {
-        crate::log!("PROXY_MGMT is no address: {value:?}; there is no management line");
+        tracing::warn!("PROXY_MGMT is no address: {value:?}; there is no management line");
     }
     address.ok()
 }
@@ -278,7 +280,7 @@
     let listener = handover::bind(operator.listen, &limits).await?;
     let at = address_of(&listener, operator.listen);
     let socket = Async::<UdpSocket>::bind(at).map_err(|source| ListenError::Bind { address: at, source })?;
-    crate::log!("ENUM: serving on {at}");
+    tracing::info!("ENUM: serving on {at}");
     let patience = operator.patience.as_micros() as u64;
     let flush = limits.flush;
     let (open, ended) = async_channel::bounded(1);
--- a/proxy/tests/play/mod.rs
+++ b/proxy/tests/play/mod.rs
@@ -1,7 +1,7 @@
 //! Plays recorded byte exchanges against the program. `recorded/README.md` has the form of the files.
 
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, PipeWriter, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
@@ -36,10 +36,7 @@
 
     /// The same; its log is closed at the test's end after the line that holds `last`.
     fn read_until(mut command: Command, variable: &str, text: &str, last: Option<&'static str>) -> Program {
-        static COUNT: AtomicU32 = AtomicU32::new(0);
-        let number = COUNT.fetch_add(1, Ordering::Relaxed);
-        let at = std::env::temp_dir().join(format!("fernspan-{}-{number}.json", std::process::id()));
-        std::fs::write(&at, text).expect("the configuration is written");
+        let at = write_configuration(text);
         let mut child =
             command.env(variable, &at).stderr(Stdio::piped()).spawn().expect("the program starts");
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
@@ -55,6 +52,13 @@
         Program { child, file: at, log }
     }
 
+    /// Starts it by a command that ends in it, with a log that the test keeps and does not read.
+    pub fn start_unread(mut command: Command, variable: &str, text: &str, log: PipeWriter) -> Program {
+        let at = write_configuration(text);
+        let child = command.env(variable, &at).stderr(log).spawn().expect("the program starts");
+        Program { child, file: at, log: channel().1 }
+    }
+
     /// Starts it; once it serves, nobody reads its log any more. Gives the address that it serves on as well.
     pub fn start_unheard(variable: &str, text: &str) -> (Program, SocketAddr) {
         let program = Program::read_until(program(), variable, text, Some("serving on "));
@@ -113,6 +117,15 @@
     }
 }
 
+/// A file of this test's own.
+fn write_configuration(text: &str) -> PathBuf {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let number = COUNT.fetch_add(1, Ordering::Relaxed);
+    let at = std::env::temp_dir().join(format!("fernspan-{}-{number}.json", std::process::id()));
+    std::fs::write(&at, text).expect("the configuration is written");
+    at
+}
+
 /// The program, without a configuration from this process's surroundings.
 pub fn program() -> Command {
     without_configuration(Command::new(env!("CARGO_BIN_EXE_fernspan")))
--- a/rig/src/emulate.rs
+++ b/rig/src/emulate.rs
@@ -639,7 +639,7 @@
                     }
                 }
             },
-            Output::Log(text) => tracing::debug!("{text}"),
+            Output::Note(note) => note.log(),
         }
     }
 
