Close clients' connections one by one as they are idle after SIGTERM, never within a message

What clients saw: a set-up written in pieces while the process ended met a close and got no answer. The core ended at the first quiet moment 0.7 s after SIGTERM, and with it every connection, whatever had begun to come on it.

0.7 s after SIGTERM nobody is accepted; what waits in the accept queue is taken; each connection closes in the moment in which nothing is owed on it and no message has begun. One that is never idle closes 0.15 s before the kill, once all is answered. The core ends after the last connection, and the process after the core. A message that has begun holds its connection open also against the shorter idle time. The end is a module of its own, shutdown.

--- a/proxy/src/dns/front.rs
+++ b/proxy/src/dns/front.rs
@@ -7,7 +7,8 @@
 use crate::engine::{Input, Reply, Request, Source};
 use crate::hub::Message;
 use crate::limits::Limits;
-use crate::net::{Next, Seat, accept_all, messages, unix_now, write_all};
+use crate::net::{Next, Seat, accept_all, messages_noting, unix_now, write_all};
+use crate::shutdown::ShutdownSignal;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -15,7 +16,6 @@
 use futures_lite::{future, pin};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::hash::Hash;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
@@ -31,8 +31,6 @@
     pub limits: Limits,
     pub core: Sender<Message>,
     next: Cell<CallId>,
-    /// Dropped with the last task that serves.
-    _open: Sender<Infallible>,
 }
 
 /// The queries of one transport that have no answer yet, by call and by asker.
@@ -59,14 +57,8 @@
 }
 
 impl Front {
-    pub fn new(
-        zone: Vec<String>,
-        patience: Time,
-        limits: Limits,
-        core: Sender<Message>,
-        open: Sender<Infallible>,
-    ) -> Self {
-        Front { zone, patience, limits, core, next: Cell::new(0), _open: open }
+    pub fn new(zone: Vec<String>, patience: Time, limits: Limits, core: Sender<Message>) -> Self {
+        Front { zone, patience, limits, core, next: Cell::new(0) }
     }
 
     /// A call made of a query's bytes, or the answer that can be given at once.
@@ -154,8 +146,9 @@
         let (own, own_to_send) = async_channel::bounded::<Vec<u8>>(self.limits.own_queue);
         let waiting = RefCell::new(Waiting::new());
         let reading = async {
-            let queries =
-                messages(&stream, Decoder { most: self.limits.message }, self.limits.read, self.limits.rest);
+            let decoder = Decoder { most: self.limits.message };
+            let (read, rest) = (self.limits.read, self.limits.rest);
+            let queries = messages_noting(&stream, decoder, read, rest, seat.unfinished());
             pin!(queries);
             while let Next::Message(bytes) = seat.next(&mut queries, &self.limits).await {
                 match self.read(&bytes, source) {
@@ -217,9 +210,10 @@
         self: Rc<Self>,
         listener: Async<TcpListener>,
         executor: Rc<LocalExecutor<'static>>,
+        shutdown: ShutdownSignal,
     ) {
         let limits = self.limits.clone();
-        accept_all(listener, limits.askers, limits, executor, move |stream, source, seat| {
+        accept_all(listener, limits.askers, limits, executor, shutdown, move |stream, source, seat| {
             let front = self.clone();
             async move { front.connection(stream, DATAGRAMS + source, &seat).await }
         })
--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -34,6 +34,8 @@
     List(ListKind, Vec<ListedServer>),
     /// SIGTERM.
     Stop,
+    /// All connections of callers have ended, after SIGTERM.
+    CallersGone,
 }
 
 /// Opens the link to a server. One implementation per wire.
@@ -92,11 +94,9 @@
 
     /// Serves until it is told to stop and nothing is left to answer.
     pub async fn run(mut self, messages: Receiver<Message>) {
-        let mut grace: Option<Time> = None;
-        // Nothing was open or waiting at the last look.
-        let mut settled = false;
+        let mut callers_gone = false;
         loop {
-            let due = self.engine.due().into_iter().chain(grace).min();
+            let due = self.engine.due();
             let wait = due.map(|at| Duration::from_micros(at.saturating_sub(unix_now())));
             let message = future::or(async { messages.recv().await.ok() }, async {
                 match wait {
@@ -122,23 +122,16 @@
                 Some(Message::List(kind, servers)) => self.list(now, kind, servers, &mut out),
                 Some(Message::Stop) => {
                     self.engine.handle(now, Input::Stop(now + self.limits.stop), &mut out);
-                    // A second one puts nothing off.
-                    grace.get_or_insert(now + self.limits.grace);
                 }
+                Some(Message::CallersGone) => callers_gone = true,
                 None => {}
             }
             self.engine.handle_due(now, &mut out);
             self.carry_out(now, out);
             // Guards the writers: they get their turn however many messages wait here.
             future::yield_now().await;
-            if grace.is_some_and(|at| now >= at) {
-                // Guards what has come and was not read yet: its connection gets its turn before the next look.
-                let nothing = self.engine.open() == 0 && messages.is_empty();
-                if nothing && settled {
-                    return;
-                }
-                settled = nothing;
-                grace = Some(now + self.limits.look);
+            if callers_gone && self.engine.open() == 0 && messages.is_empty() {
+                return;
             }
         }
     }
--- a/proxy/src/isup/front.rs
+++ b/proxy/src/isup/front.rs
@@ -4,9 +4,10 @@
 use crate::engine::{Input, Reply, Request, Source};
 use crate::hub;
 use crate::limits::Limits;
-use crate::net::{Next, Seat, accept_all, messages, unix_now, within};
+use crate::net::{Next, Seat, accept_all, messages_noting, unix_now, within};
 use crate::readiness::Readiness;
 use crate::reasons::Hex;
+use crate::shutdown::ShutdownSignal;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -14,7 +15,6 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future, pin};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, VecDeque};
-use std::convert::Infallible;
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -38,8 +38,6 @@
     pub core: Sender<hub::Message>,
     /// What a test tells.
     pub readiness: Readiness,
-    /// Dropped with the last task that serves.
-    pub _open: Sender<Infallible>,
 }
 
 /// The figures of a set-up, as in `dest:2;width:1;via:-1`.
@@ -165,6 +163,10 @@
                 if end == End::Spoilt {
                     self.answer_the_rest(&stream, &table, &to_write, &own, &flushes, &hand).await;
                 }
+                // As the program ends, what is owed is on its way: the core's deadline for all has come.
+                let answered =
+                    async { while !table.borrow().open.is_empty() && flushes.recv().await.is_ok() {} };
+                within(self.limits.flush, answered).await;
                 // What is on its way to the caller leaves before the socket does.
                 to_write.close();
                 own.close();
@@ -246,7 +248,8 @@
         seat: &Seat,
     ) -> End {
         let decoder = Decoder { most: self.limits.message };
-        let messages = messages(stream, decoder, self.limits.read, self.limits.rest);
+        let (read, rest) = (self.limits.read, self.limits.rest);
+        let messages = messages_noting(stream, decoder, read, rest, seat.unfinished());
         pin!(messages);
         loop {
             let mut next = seat.next(&mut messages, &self.limits).await;
@@ -525,10 +528,15 @@
     !number.is_empty() && number.bytes().all(|b| b.is_ascii_graphic() && !b"@<>\"".contains(&b))
 }
 
-/// Takes callers for ever.
-pub async fn listen(front: Rc<Front>, listener: Async<TcpListener>, executor: Rc<LocalExecutor<'static>>) {
+/// Takes callers, until the shutdown has closed their last connection.
+pub async fn listen(
+    front: Rc<Front>,
+    listener: Async<TcpListener>,
+    executor: Rc<LocalExecutor<'static>>,
+    shutdown: ShutdownSignal,
+) {
     let limits = front.limits.clone();
-    accept_all(listener, limits.caller_conns, limits, executor, move |stream, source, seat| {
+    accept_all(listener, limits.caller_conns, limits, executor, shutdown, move |stream, source, seat| {
         let front = front.clone();
         async move { front.serve(stream, source, &seat).await }
     })
@@ -555,7 +563,6 @@
     impl Scene {
         fn new() -> Scene {
             let (core, messages) = async_channel::unbounded();
-            let (open, _) = async_channel::bounded(1);
             let limits = Limits::new(256, 64 << 20, 20_000, Duration::from_millis(500), 9_000_000);
             let names = Names {
                 classes: vec!["voice".to_owned()],
@@ -564,11 +571,11 @@
                 tenants: Vec::new(),
                 hold_off: None,
             };
-            let front = Rc::new(Front { names, limits, core, readiness: Readiness::default(), _open: open });
+            let front = Rc::new(Front { names, limits, core, readiness: Readiness::default() });
             let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a free port");
             let at = listener.get_ref().local_addr().expect("bound");
             let executor = Rc::new(LocalExecutor::new());
-            executor.spawn(listen(front, listener, executor.clone())).detach();
+            executor.spawn(listen(front, listener, executor.clone(), ShutdownSignal::default())).detach();
             let caller = TcpStream::connect(at).expect("connected");
             caller.set_read_timeout(Some(Duration::from_secs(10))).expect("a time-out");
             let mut scene = Scene { executor, core: messages, replies: None, caller };
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod operator;
 pub mod readiness;
 pub mod reasons;
+pub mod shutdown;
 pub mod signals;
 pub mod sip;
 pub mod startup;
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -98,7 +98,9 @@
     pub grace: Time,
     /// After SIGTERM everything is answered by then, before the platform kills.
     pub stop: Time,
-    /// How often it is looked whether all is answered, after the grace.
+    /// After SIGTERM the last connections close by then: nothing that comes on them would be answered after the kill.
+    pub close: Time,
+    /// How often it is looked which connections may close, after the grace.
     pub look: Time,
     /// Time for the last answers to leave the program.
     pub flush: Duration,
@@ -122,7 +124,9 @@
         let grace = 700_000;
         // The platform waits for the longest deadline, 3 s at most, beyond the grace before it kills; the answers need a
         // little of that to leave.
-        let stop = (longest.min(3_000_000) + grace).saturating_sub(400_000).max(grace);
+        let kill = longest.min(3_000_000) + grace;
+        let stop = kill.saturating_sub(400_000).max(grace);
+        let close = kill.saturating_sub(150_000).max(stop);
         Limits {
             message: 16 * 1024,
             read: 16 * 1024,
@@ -169,6 +173,7 @@
             undelivered: (memory >> 13).clamp(1_000, 10_000),
             grace,
             stop,
+            close,
             look: 10_000,
             flush: Duration::from_millis(250),
             pause: Duration::from_millis(20),
--- a/proxy/src/management.rs
+++ b/proxy/src/management.rs
@@ -6,6 +6,7 @@
 use crate::limits::Limits;
 use crate::net::{Decode, Next, Seat, WireError, accept_all, messages, write_all};
 use crate::readiness::Readiness;
+use crate::shutdown::ShutdownSignal;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::pin;
@@ -57,7 +58,9 @@
         let listener = self.bind(address).await;
         let limits = self.limits.clone();
         let seats = limits.management_connections;
-        accept_all(listener, seats, limits, executor, move |stream, _, seat| {
+        // Operators are answered until the process is gone.
+        let shutdown = ShutdownSignal::default();
+        accept_all(listener, seats, limits, executor, shutdown, move |stream, _, seat| {
             let management = self.clone();
             async move { management.serve(stream, &seat).await }
         })
--- a/proxy/src/net.rs
+++ b/proxy/src/net.rs
@@ -1,6 +1,7 @@
 //! What every socket shares: streams of messages, writes that cannot hang, and the clock.
 
 use crate::limits::Limits;
+use crate::shutdown::ShutdownSignal;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -77,6 +78,21 @@
     read: usize,
     rest: Duration,
 ) -> impl Stream<Item = Result<D::Message, WireError>>
+where
+    R: AsyncRead + Unpin,
+    D: Decode,
+{
+    messages_noting(reader, decoder, read, rest, Rc::default())
+}
+
+/// The same; `unfinished` tells whether a message has begun and is not whole.
+pub fn messages_noting<R, D>(
+    reader: R,
+    decoder: D,
+    read: usize,
+    rest: Duration,
+    unfinished: Rc<Cell<bool>>,
+) -> impl Stream<Item = Result<D::Message, WireError>>
 where
     R: AsyncRead + Unpin,
     D: Decode,
@@ -88,18 +104,22 @@
         taken: usize,
         chunk: Vec<u8>,
         begun: Option<Instant>,
+        unfinished: Rc<Cell<bool>>,
     }
-    let state = State { reader, decoder, bytes: Vec::new(), taken: 0, chunk: vec![0; read], begun: None };
+    let state =
+        State { reader, decoder, bytes: Vec::new(), taken: 0, chunk: vec![0; read], begun: None, unfinished };
     stream::try_unfold(state, move |mut s| async move {
         loop {
             s.taken += s.decoder.blank(&s.bytes[s.taken..]);
             if let Some((message, used)) = s.decoder.decode(&s.bytes[s.taken..])? {
                 s.taken += used;
                 s.begun = None;
+                s.unfinished.set(s.taken < s.bytes.len());
                 return Ok(Some((message, s)));
             }
             s.bytes.drain(..s.taken);
             s.taken = 0;
+            s.unfinished.set(!s.bytes.is_empty());
             // Guards against a peer that stops half way: what else it holds would wait for ever.
             let read = if s.bytes.is_empty() {
                 s.reader.read(&mut s.chunk).await
@@ -145,6 +165,12 @@
 pub struct Seat {
     /// An answer is owed on it.
     busy: Cell<bool>,
+    /// A message has begun on it and is not whole.
+    unfinished: Rc<Cell<bool>>,
+    /// It closes as soon as it is idle.
+    leaving: Cell<bool>,
+    /// It closes as soon as no message has begun on it: what is owed then is answered, and nothing more is read.
+    closing: Cell<bool>,
     /// It has got what it came for once.
     proven: Cell<bool>,
     active: Cell<Instant>,
@@ -155,6 +181,9 @@
     fn new() -> Self {
         Seat {
             busy: Cell::new(false),
+            unfinished: Rc::default(),
+            leaving: Cell::new(false),
+            closing: Cell::new(false),
             proven: Cell::new(false),
             active: Cell::new(Instant::now()),
             leave: async_channel::bounded(1),
@@ -165,6 +194,39 @@
     pub fn used(&self, busy: bool) {
         self.busy.set(busy);
         self.active.set(Instant::now());
+        self.leave_if_leaving();
+    }
+
+    /// Whether a message has begun and is not whole, for [`messages_noting`].
+    pub fn unfinished(&self) -> Rc<Cell<bool>> {
+        self.unfinished.clone()
+    }
+
+    /// Whether nothing is owed on it, and nothing is about to be.
+    fn idle(&self) -> bool {
+        !self.busy.get() && !self.unfinished.get()
+    }
+
+    /// Whether it may close now, as it was asked to.
+    fn may_leave(&self) -> bool {
+        self.idle() || self.closing.get() && !self.unfinished.get()
+    }
+
+    /// Closes it as soon as it is idle, or as soon as no message has begun.
+    fn leave(&self, now: bool) {
+        self.leaving.set(true);
+        self.closing.set(now);
+        self.leave_if_leaving();
+    }
+
+    fn leave_if_leaving(&self) {
+        if self.leaving.get() && self.may_leave() {
+            self.ask_to_leave();
+        }
+    }
+
+    fn ask_to_leave(&self) {
+        let _ = self.leave.0.try_send(());
     }
 
     pub fn prove(&self) {
@@ -195,11 +257,11 @@
                 Next::Leave
             };
             match within(self.patience(limits), future::or(next, leave)).await {
-                // Guards a set-up that has come since the seat was asked for: its answer is owed here.
-                Some(Next::Leave) if self.busy.get() => {}
+                // Guards a set-up that has come since the seat was asked for, or that is coming: its answer is owed here.
+                Some(Next::Leave) if !self.may_leave() => {}
                 Some(next) => return next,
                 // Guards a connection that was served during the wait: what it is given counts as of now.
-                None if !self.busy.get() && self.active.get().elapsed() >= self.patience(limits) => {
+                None if self.idle() && self.active.get().elapsed() >= self.patience(limits) => {
                     return Next::Leave;
                 }
                 None => {}
@@ -211,55 +273,102 @@
 /// Asks some connections to leave on which nothing is owed: first those that were never served, and of these
 /// the ones that have been idle longest. One that has just come may be about to speak.
 fn make_room<'a>(seats: impl Iterator<Item = &'a Rc<Seat>>, most: usize, settle: Duration) {
-    let mut idle: Vec<_> = seats
-        .filter(|s| !s.busy.get() && s.active.get().elapsed() >= settle && s.leave.0.is_empty())
-        .collect();
+    let mut idle: Vec<_> =
+        seats.filter(|s| s.idle() && s.active.get().elapsed() >= settle && s.leave.0.is_empty()).collect();
     idle.sort_by_key(|s| (s.proven.get(), s.active.get()));
     for seat in idle.into_iter().take(most) {
-        let _ = seat.leave.0.try_send(());
+        seat.ask_to_leave();
     }
 }
 
-/// Accepts connections for ever, `most` at a time, numbered from 1, and has each served by a task of its own.
-/// When it cannot accept now it looks again after a pause.
+/// Accepts connections, `most` at a time, numbered from 1, and has each served by a task of its own, until `shutdown`
+/// says so. Ends once the last connection has: each closes when nothing is owed on it.
 pub async fn accept_all<F, S>(
     listener: Async<TcpListener>,
     most: usize,
     limits: Limits,
     executor: Rc<LocalExecutor<'static>>,
+    shutdown: ShutdownSignal,
     serve: F,
 ) where
     F: Fn(Async<TcpStream>, u64, Rc<Seat>) -> S,
     S: Future<Output = ()> + 'static,
 {
-    let seats: Rc<RefCell<BTreeMap<u64, Rc<Seat>>>> = Rc::default();
-    let (left, freed) = async_channel::bounded(1);
-    for number in 1.. {
-        // Guards the descriptors, and the usual clients against others that fill all seats and say nothing.
-        while seats.borrow().len() >= most {
-            make_room(seats.borrow().values(), most / 8 + 1, limits.settle);
-            within(limits.pause, freed.recv()).await;
-        }
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                tracing::warn!(error = %e, "accept");
-                Timer::after(limits.pause).await;
-                continue;
+    let mut acceptor =
+        Acceptor { seats: Rc::default(), number: 0, freed: async_channel::bounded(1), executor, serve };
+    let accepting = async {
+        loop {
+            acceptor.wait_for_room(most, &limits).await;
+            match listener.accept().await {
+                Ok((stream, _)) => acceptor.serve(stream),
+                Err(e) => {
+                    tracing::warn!(error = %e, "accept");
+                    Timer::after(limits.pause).await;
+                }
             }
-        };
+            // A burst of connections must not keep the others from their turn.
+            future::yield_now().await;
+        }
+    };
+    future::or(shutdown.closes_when_idle(), accepting).await;
+    // What waits in the queue was taken by this machine. Where the socket is shared, another process takes the rest.
+    while let Ok((stream, _)) = listener.get_ref().accept() {
+        match Async::new(stream) {
+            Ok(stream) => acceptor.serve(stream),
+            Err(e) => tracing::warn!(error = %e, "accept"),
+        }
+    }
+    drop(listener);
+    acceptor.close_all(&limits, &shutdown).await;
+}
+
+/// The connections that a listener holds.
+struct Acceptor<F> {
+    seats: Rc<RefCell<BTreeMap<u64, Rc<Seat>>>>,
+    /// Number of the last connection.
+    number: u64,
+    /// Told when a connection has ended.
+    freed: (Sender<()>, Receiver<()>),
+    executor: Rc<LocalExecutor<'static>>,
+    serve: F,
+}
+
+impl<F, S> Acceptor<F>
+where
+    F: Fn(Async<TcpStream>, u64, Rc<Seat>) -> S,
+    S: Future<Output = ()> + 'static,
+{
+    /// Guards the descriptors, and the usual clients against others that fill all seats and say nothing.
+    async fn wait_for_room(&self, most: usize, limits: &Limits) {
+        while self.seats.borrow().len() >= most {
+            make_room(self.seats.borrow().values(), most / 8 + 1, limits.settle);
+            within(limits.pause, self.freed.1.recv()).await;
+        }
+    }
+
+    fn serve(&mut self, stream: Async<TcpStream>) {
+        self.number += 1;
+        let number = self.number;
         let seat = Rc::new(Seat::new());
-        seats.borrow_mut().insert(number, seat.clone());
-        let (served, seats, left) = (serve(stream, number, seat), seats.clone(), left.clone());
-        executor
-            .spawn(async move {
-                served.await;
-                seats.borrow_mut().remove(&number);
-                let _ = left.try_send(());
-            })
-            .detach();
-        // A burst of connections must not keep the others from their turn.
-        future::yield_now().await;
+        self.seats.borrow_mut().insert(number, seat.clone());
+        let served = (self.serve)(stream, number, seat);
+        let (seats, freed) = (self.seats.clone(), self.freed.0.clone());
+        let task = async move {
+            served.await;
+            seats.borrow_mut().remove(&number);
+            let _ = freed.try_send(());
+        };
+        self.executor.spawn(task).detach();
+    }
+
+    /// Ends when all connections have.
+    async fn close_all(&self, limits: &Limits, shutdown: &ShutdownSignal) {
+        while !self.seats.borrow().is_empty() {
+            for seat in self.seats.borrow().values() {
+                seat.leave(shutdown.closes_now());
+            }
+            within(Duration::from_micros(limits.look), self.freed.1.recv()).await;
+        }
     }
 }
 
--- a/proxy/src/readiness.rs
+++ b/proxy/src/readiness.rs
@@ -39,9 +39,9 @@
         self.0.accepting.set(true);
     }
 
-    /// The process has been told to end.
-    pub fn shutting_down(&self) {
-        self.0.shutting_down.set(true);
+    /// The process has been told to end. Says whether that is news.
+    pub fn shutting_down(&self) -> bool {
+        !self.0.shutting_down.replace(true)
     }
 
     /// Whether a set-up would be served.
--- a/proxy/src/startup.rs
+++ b/proxy/src/startup.rs
@@ -10,18 +10,17 @@
 use crate::management::Management;
 use crate::net::within;
 use crate::readiness::Readiness;
+use crate::shutdown::{Ending, ShutdownSignal};
 use crate::signals::{Request, Requests};
 use crate::{config, dns, feed, isup, operator, sip};
-use async_channel::{Receiver, Sender};
+use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
 use fernspan_core::ListKind;
 use futures_lite::{future, pin};
-use std::convert::Infallible;
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
-use std::time::Duration;
 
 /// What all tasks of the program run on.
 pub type Executor = Rc<LocalExecutor<'static>>;
@@ -66,13 +65,34 @@
     /// The way to the core.
     queue: Sender<Message>,
     core: Task<()>,
-    /// What takes connections.
-    front: Vec<Task<()>>,
-    /// Closed once the last connection has ended.
-    ended: Receiver<Infallible>,
-    /// Time for the last answers to leave.
-    flush: Duration,
+    /// What takes connections; it ends after the last of them.
+    connections: Task<()>,
+    /// What takes datagrams; it ends after the core.
+    datagrams: Option<Task<()>>,
+    limits: Limits,
     readiness: Readiness,
+    shutdown: ShutdownSignal,
+}
+
+impl Service {
+    fn ending(&self) -> Ending {
+        Ending {
+            core: self.queue.clone(),
+            limits: self.limits.clone(),
+            readiness: self.readiness.clone(),
+            signal: self.shutdown.clone(),
+        }
+    }
+
+    /// Waits until all that was taken is answered and all connections have ended.
+    async fn ended(self) {
+        self.connections.await;
+        tell(&self.queue, Message::CallersGone).await;
+        self.core.await;
+        if let Some(datagrams) = self.datagrams {
+            within(self.limits.flush, datagrams).await;
+        }
+    }
 }
 
 /// Where a reload is read from, and who is told what it says.
@@ -108,7 +128,7 @@
     if reload_asked {
         proxy.read_again();
     }
-    proxy.serve(requests).await;
+    proxy.serve(requests, &executor).await;
     Ok(())
 }
 
@@ -131,31 +151,22 @@
     }
 
     /// Serves until the last service has ended after a signal.
-    async fn serve(self, mut requests: Requests) {
+    async fn serve(self, mut requests: Requests, executor: &Executor) {
         let Proxy { services, reload } = self;
-        let told: Vec<(Sender<Message>, Readiness)> =
-            services.iter().map(|s| (s.queue.clone(), s.readiness.clone())).collect();
+        let endings: Vec<Ending> = services.iter().map(Service::ending).collect();
         let signalled = async {
             loop {
                 let request = requests.next().await;
                 tracing::info!(?request, "signal");
                 match request {
                     Request::Reload => read_again(reload.as_ref()),
-                    Request::ShutDown => {
-                        for (queue, readiness) in &told {
-                            readiness.shutting_down();
-                            let _ = queue.send(Message::Stop).await;
-                        }
-                    }
+                    Request::ShutDown => endings.iter().for_each(|ending| ending.begin(executor)),
                 }
             }
         };
         let served = async {
             for service in services {
-                service.core.await;
-                // The last answers are with the connections' writers by now.
-                drop(service.front);
-                within(service.flush, async { while service.ended.recv().await.is_ok() {} }).await;
+                service.ended().await;
             }
         };
         future::or(served, signalled).await;
@@ -238,13 +249,17 @@
     };
     executor.spawn(feed.run()).detach();
     tracing::info!("{}: serving on {}", config.name, address_of(&listener, config.listen));
-    let (open, ended) = async_channel::bounded(1);
-    let flush = limits.flush;
-    let front =
-        isup::front::Front { names, limits, core: queue.clone(), readiness: readiness.clone(), _open: open };
-    let front = vec![executor.spawn(isup::front::listen(Rc::new(front), listener, executor.clone()))];
+    let front = isup::front::Front {
+        names,
+        limits: limits.clone(),
+        core: queue.clone(),
+        readiness: readiness.clone(),
+    };
+    let shutdown = ShutdownSignal::default();
+    let connections = isup::front::listen(Rc::new(front), listener, executor.clone(), shutdown.clone());
+    let connections = executor.spawn(connections);
     readiness.accepting();
-    let service = Service { queue, core, front, ended, flush, readiness };
+    let service = Service { queue, core, connections, datagrams: None, limits, readiness, shutdown };
     Ok((service, Reload { path, channel_addresses }))
 }
 
@@ -282,16 +297,14 @@
     let socket = Async::<UdpSocket>::bind(at).map_err(|source| ListenError::Bind { address: at, source })?;
     tracing::info!("ENUM: serving on {at}");
     let patience = operator.patience.as_micros() as u64;
-    let flush = limits.flush;
-    let (open, ended) = async_channel::bounded(1);
-    let enumerator = dns::front::Front::new(operator.zone, patience, limits, queue.clone(), open);
+    let enumerator = dns::front::Front::new(operator.zone, patience, limits.clone(), queue.clone());
     let enumerator = Rc::new(enumerator);
-    let front = vec![
-        executor.spawn(enumerator.clone().datagrams(socket)),
-        executor.spawn(enumerator.connections(listener, executor.clone())),
-    ];
+    let shutdown = ShutdownSignal::default();
+    let datagrams = Some(executor.spawn(enumerator.clone().datagrams(socket)));
+    let connections = enumerator.connections(listener, executor.clone(), shutdown.clone());
+    let connections = executor.spawn(connections);
     readiness.accepting();
-    Ok(Service { queue, core, front, ended, flush, readiness })
+    Ok(Service { queue, core, connections, datagrams, limits, readiness, shutdown })
 }
 
 /// The address that a socket listens on.
--- a/proxy/tests/endings/mod.rs
+++ b/proxy/tests/endings/mod.rs
@@ -1,13 +1,15 @@
 //! Ends that cross something, against the program on real sockets: what is still owed at them is done.
 
+mod shutdown;
+
 use crate::play::{PATIENCE, Program, accept};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-/// The program with one setup server, and the first connection to it.
-fn start() -> (Program, TcpStream, TcpListener) {
+/// The program with one setup server, other values of these fields, and the first connection to that server.
+fn start(settings: &[(&str, &str)]) -> (Program, TcpStream, TcpListener) {
     let server = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let at = server.local_addr().expect("bound");
     let listed = format!(
@@ -15,6 +17,10 @@
     );
     let text =
         include_str!("../recorded/config.json").replace("SERVERS", &listed).replace("CHANNEL", "127.0.0.1:1");
+    let text = settings.iter().fold(text, |text, (from, to)| {
+        assert!(text.contains(from), "{from}");
+        text.replace(from, to)
+    });
     let program = Program::start("PROXY_CONFIG", &text);
     let link = accept(&server).expect("the program connects");
     link.set_read_timeout(Some(PATIENCE)).expect("a time-out");
@@ -68,7 +74,7 @@
 /// nobody will ever release that call, so the program does. Guards lines against calls that stand for nobody.
 #[test]
 fn an_answer_that_no_caller_gets_is_released() {
-    let (program, mut link, _server) = start();
+    let (program, mut link, _server) = start(&[]);
     let at = program.address();
     let mut caller = connect(&at);
     caller.write_all(&setup(10, "9000")).expect("sent");
@@ -102,7 +108,7 @@
 /// A second SIGTERM neither ends the program at once nor puts off what the first has asked for.
 #[test]
 fn a_second_sigterm_changes_nothing() {
-    let (mut program, mut link, _server) = start();
+    let (mut program, mut link, _server) = start(&[]);
     let mut caller = connect(&program.address());
     caller.write_all(&setup(10, "9000")).expect("sent");
     until(&mut link, "desc");
@@ -123,7 +129,7 @@
 /// A caller's bytes end anywhere in a set-up, and with a close: none of these comes to the server, and the next does.
 #[test]
 fn a_set_up_that_is_cut_anywhere_is_none() {
-    let (program, mut link, _server) = start();
+    let (program, mut link, _server) = start(&[]);
     let at = program.address();
     let whole = setup(10, "3000");
     let pieces: Vec<TcpStream> = (0..whole.len())
@@ -145,7 +151,7 @@
 fn an_answer_that_is_cut_anywhere_is_none() {
     let answer = stood(10);
     for cut in [1, 8, 14, 30, 60, answer.len() - 5, answer.len() - 1] {
-        let (program, mut link, server) = start();
+        let (program, mut link, server) = start(&[]);
         let mut caller = connect(&program.address());
         caller.write_all(&setup(10, "9000")).expect("sent");
         until(&mut link, "desc");
