Serve with an odd configuration and name what is odd, and wait for one that is still written

All else is named in the log (oddity.rs) and served with what can be in its place; a server that cannot be used is left out, one in an unknown state gets nothing new, in events of the command channel as well, where such a server broke off the whole event. A file that is no JSON is looked at for 1 s.

The ENUM front waits for its datagrams' address as well.

--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -1,7 +1,7 @@
 //! What the platform tells a proxy at its start.
 
 use crate::feed::{self, ListEvent};
-use fernspan_core::State;
+use crate::oddity::{self, Oddity};
 use fernspan_settings::json::{self, Value, need};
 use fernspan_settings::{Start, from_value};
 use std::net::SocketAddr;
@@ -26,6 +26,8 @@
     pub zones: Vec<String>,
     pub cursor: u64,
     pub known: Vec<ListEvent>,
+    /// What is odd in it, and served all the same.
+    pub oddities: Vec<Oddity>,
 }
 
 fn address(v: &Value) -> Option<SocketAddr> {
@@ -42,22 +44,24 @@
     list.iter().map(|item| need(item, "name", json::word)).collect()
 }
 
-/// Reads the configuration's text.
+/// Reads the configuration's text. What is odd in it, and served all the same, is in `oddities`.
+///
+/// # Errors
+/// The text is no JSON, or a field that has to be there is missing or cannot be read.
 pub fn read(text: &str) -> Result<Config, String> {
     let v = json::parse(text)?;
     let settings = need(&v, "settings", Some)?;
-    misspelt(settings)?;
+    let mut oddities = misspelt(settings);
     let zones = json::maybe(settings, "zones", json::array)?.unwrap_or_default();
     let zones: Option<Vec<String>> = zones.iter().map(json::word).collect();
     let zones = zones.ok_or("field config: settings.zones holds what is no name")?;
-    let known = need(&v, "known.cmds", json::array)?;
-    let known: Vec<ListEvent> = known.iter().map(|e| feed::event(e, &zones)).collect::<Result<_, _>>()?;
+    let known = known_events(&v, &zones, &mut oddities)?;
     let dial = need(settings, "limits.dial_timeout", json::span)?;
-    let config = Config {
+    let mut config = Config {
         name: need(&v, "name", json::word)?,
         listen: need(&v, "listen", address)?,
         channel: need(&v, "channel", address)?,
-        management: json::maybe(&v, "mgmt", address)?,
+        management: management(&v, &mut oddities),
         seed: need(&v, "seed", seed)?,
         sockets: need(&v, "limits.sockets", json::count)? as usize,
         memory: (need(&v, "limits.memory_mb", json::count)? as usize) << 20,
@@ -69,11 +73,38 @@
         cursor: need(&v, "known.cursor", json::whole)?,
         zones,
         known,
+        oddities,
     };
-    contradictions(&config, settings)?;
+    turn_down(&config)?;
+    config.check_names(settings)?;
+    config.check_figures();
+    config.check_cursor();
     Ok(config)
 }
 
+/// The management address, if there is one that can be used.
+fn management(v: &Value, oddities: &mut Vec<Oddity>) -> Option<SocketAddr> {
+    let found = json::get(v, "mgmt")?;
+    let usable = address(found);
+    if usable.is_none() {
+        oddities.push(Oddity::Address { path: "mgmt", value: oddity::shown(found) });
+    }
+    usable
+}
+
+/// The events of the start, each number above the one before.
+fn known_events(v: &Value, zones: &[String], oddities: &mut Vec<Oddity>) -> Result<Vec<ListEvent>, String> {
+    let mut known: Vec<ListEvent> = Vec::new();
+    for event in need(v, "known.cmds", json::array)? {
+        let event = feed::event(event, zones, oddities)?;
+        match known.last().map(|e| e.cursor).filter(|before| *before >= event.cursor) {
+            Some(before) => oddities.push(Oddity::CursorRepeats { cursor: event.cursor, before }),
+            None => known.push(event),
+        }
+    }
+    Ok(known)
+}
+
 /// Fields that may be missing: the object that holds them, and their names. Any other that is read has to be there.
 const OPTIONAL: [(&str, &[&str]); 5] = [
     ("", &["zones", "parties", "report", "specifics", "costs"]),
@@ -87,9 +118,10 @@
 /// Letters that are wrong, missing or too many in a name that was meant to be another, at most.
 const SLIPS: usize = 2;
 
-/// Names a field that is unknown where one like it is missing: new fields may come and are skipped, but a misspelt one
-/// would be taken for one that the deployment does without.
-fn misspelt(settings: &Value) -> Result<(), String> {
+/// Fields that are unknown where one like them is missing: new fields may come and are skipped, but a misspelt one would be
+/// taken, without a word, for one that the deployment does without.
+fn misspelt(settings: &Value) -> Vec<Oddity> {
+    let mut found = Vec::new();
     for (path, names) in OPTIONAL {
         let object = if path.is_empty() { Some(settings) } else { json::get(settings, path) };
         let Some(Value::Object(fields)) = object else { continue };
@@ -100,88 +132,111 @@
             };
             if let Some(key) = fields.keys().find(like) {
                 let dot = if path.is_empty() { "" } else { "." };
-                return Err(format!("field config: settings.{path}{dot}{key} is unknown; {name} is missing"));
+                found.push(Oddity::LikelyMisspelt {
+                    path: format!("settings.{path}{dot}{key}"),
+                    missing: name,
+                });
             }
         }
     }
-    Ok(())
+    found
 }
 
-/// Names what cannot all be meant. Guards against a proxy that starts and serves a class, or a tenant, as another.
-fn contradictions(config: &Config, settings: &Value) -> Result<(), String> {
-    let twice = |path: &str, names: &[String]| {
-        let again = (1..names.len()).find(|i| names[..*i].contains(&names[*i]));
-        again.map_or(Ok(()), |i| Err(format!("field config: settings.{path} names {} twice", names[i])))
-    };
-    twice("profiles", &config.classes)?;
-    twice("parties", &config.tenants)?;
+/// Figures without which nothing can be served as it should: a deadline and a number of attempts above 0, and a class.
+fn turn_down(config: &Config) -> Result<(), String> {
+    let settings = &config.start.settings;
     if config.classes.is_empty() {
         return Err("field config: settings.profiles is empty".to_owned());
     }
-    let pools = json::maybe(settings, "specifics.allowed_pools", json::array)?.map(<[Value]>::len);
-    if pools.is_some_and(|n| n != 0 && n != config.classes.len()) {
-        return Err(
-            "field config: settings.specifics.allowed_pools has not one list for each profile".to_owned()
-        );
+    if settings.attempt_limit == 0 {
+        return Err("field config: settings.limits.try_limit cannot be 0".to_owned());
     }
-    for (name, class) in config.classes.iter().zip(&config.start.settings.classes) {
-        if class.goal > class.limit {
-            return Err(format!(
-                "field config: settings.profiles: goal_time of {name} is over its hard_limit"
-            ));
-        }
+    if settings.classes.iter().any(|c| c.limit == 0) {
+        return Err("field config: settings.profiles: hard_limit cannot be 0".to_owned());
     }
-    let s = &config.start.settings;
-    let (classes, tenants) = (&s.classes, &s.tenants);
-    let none = |field: &str, any: bool| match any {
-        true => Err(format!("field config: {field} cannot be 0")),
-        false => Ok(()),
-    };
-    none("settings.balancers", s.nodes == 0)?;
-    none("settings.limits.try_limit", s.attempt_limit == 0)?;
-    none("settings.limits.max_open", config.open_calls == 0)?;
-    none("settings.limits.dial_timeout", config.connect.is_zero())?;
-    none("settings.profiles: hard_limit", classes.iter().any(|c| c.limit == 0))?;
-    none("settings.contract.fall_multiple", s.fall_multiple == 0.0)?;
-    none("limits.sockets", config.sockets == 0)?;
-    none("limits.memory_mb", config.memory == 0)?;
-    let share = |field: &str, value: f64| match (0.0..=1.0).contains(&value) {
-        true => Ok(()),
-        false => Err(format!("field config: settings.{field} cannot be {value}")),
-    };
-    share("over_share_worth", s.over_share_worth)?;
-    share("contract.start_capacity", s.start_capacity)?;
-    classes.iter().try_for_each(|c| share("profiles: late_worth", c.late_worth))?;
-    tenants.iter().try_for_each(|t| share("parties: fraction", t.share))?;
-    let below = [("contract.fall_multiple", s.fall_multiple), ("costs.probe", s.probe_price)].into_iter();
-    let worths = classes.iter().map(|c| ("profiles: credit", c.worth));
-    if let Some((field, value)) = below.chain(worths).find(|f| f.1 < 0.0) {
-        return Err(format!("field config: settings.{field} cannot be {value}"));
-    }
-    let mode = need(settings, "registry_mode", json::text)?;
-    if !["automatic", "subscribe"].contains(&mode) {
-        return Err(format!("field config: settings.registry_mode cannot be {mode:?}"));
-    }
-    for server in config.known.iter().flat_map(|e| &e.servers) {
-        if server.entry.state != State::Gone && server.addr.parse::<SocketAddr>().is_err() {
-            return Err(format!(
-                "field config: known.cmds: addr of {} cannot be {:?}",
-                server.id, server.addr
-            ));
+    Ok(())
+}
+
+/// What is taken where a limit is 0: that of a scored day (DEPLOY, 'Limits').
+const USUAL_SOCKETS: usize = 1024;
+const USUAL_MEMORY: usize = 192 << 20;
+/// What is taken for figures of the settings that cannot be.
+const USUAL_OPEN_CALLS: usize = 20_000;
+const USUAL_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const USUAL_FALL_MULTIPLE: f64 = 2.0;
+
+impl Config {
+    fn check_names(&mut self, settings: &Value) -> Result<(), String> {
+        let lists = [("profiles", &self.classes), ("parties", &self.tenants)];
+        for (path, names) in lists {
+            if let Some(i) = (1..names.len()).find(|i| names[..*i].contains(&names[*i])) {
+                self.oddities.push(Oddity::NamedTwice { path, name: names[i].clone() });
+            }
         }
+        let pools = json::maybe(settings, "specifics.allowed_pools", json::array)?.map(<[Value]>::len);
+        if pools.is_some_and(|n| n != 0 && n != self.classes.len()) {
+            self.oddities.push(Oddity::PoolLists);
+        }
+        let mode = need(settings, "registry_mode", json::text)?;
+        if !["automatic", "subscribe"].contains(&mode) {
+            self.oddities.push(Oddity::Mode(mode.to_owned()));
+        }
+        Ok(())
     }
-    if let Some(pair) = config.known.windows(2).find(|pair| pair[0].cursor >= pair[1].cursor) {
-        return Err(format!(
-            "field config: known.cmds: cursor {} follows {}",
-            pair[1].cursor, pair[0].cursor
-        ));
+
+    /// Puts what can be in the place of figures that cannot.
+    fn check_figures(&mut self) {
+        let odd = &mut self.oddities;
+        let mut figure = |path: &str, value: f64, taken: f64| {
+            if value != taken {
+                odd.push(Oddity::Figure { path: path.to_owned(), value, taken });
+            }
+            taken
+        };
+        let or_usual = |value: usize, usual: usize| if value == 0 { usual } else { value };
+        let sockets = or_usual(self.sockets, USUAL_SOCKETS);
+        figure("limits.sockets", self.sockets as f64, sockets as f64);
+        self.sockets = sockets;
+        let memory = or_usual(self.memory, USUAL_MEMORY);
+        figure("limits.memory_mb", (self.memory >> 20) as f64, (memory >> 20) as f64);
+        self.memory = memory;
+        let open_calls = or_usual(self.open_calls, USUAL_OPEN_CALLS);
+        figure("settings.limits.max_open", self.open_calls as f64, open_calls as f64);
+        self.open_calls = open_calls;
+        let connect = if self.connect.is_zero() { USUAL_CONNECT_TIMEOUT } else { self.connect };
+        let microseconds = |span: Duration| span.as_micros() as f64;
+        figure("settings.limits.dial_timeout", microseconds(self.connect), microseconds(connect));
+        self.connect = connect;
+
+        let s = &mut self.start.settings;
+        s.nodes = figure("settings.balancers", f64::from(s.nodes), f64::from(s.nodes.max(1))) as u32;
+        let multiple = if s.fall_multiple > 0.0 { s.fall_multiple } else { USUAL_FALL_MULTIPLE };
+        s.fall_multiple = figure("settings.contract.fall_multiple", s.fall_multiple, multiple);
+        let share = |value: f64| value.clamp(0.0, 1.0);
+        s.over_share_worth =
+            figure("settings.over_share_worth", s.over_share_worth, share(s.over_share_worth));
+        s.start_capacity =
+            figure("settings.contract.start_capacity", s.start_capacity, share(s.start_capacity));
+        s.probe_price = figure("settings.costs.probe", s.probe_price, s.probe_price.max(0.0));
+        for tenant in &mut s.tenants {
+            tenant.share = figure("settings.parties: fraction", tenant.share, share(tenant.share));
+        }
+        for class in &mut s.classes {
+            let (goal, limit) = (class.goal as f64, class.limit as f64);
+            figure("settings.profiles: goal_time", goal, goal.min(limit));
+            class.goal = class.goal.min(class.limit);
+            class.worth = figure("settings.profiles: credit", class.worth, class.worth.max(0.0));
+            class.late_worth =
+                figure("settings.profiles: late_worth", class.late_worth, share(class.late_worth));
+        }
     }
-    let last = config.known.last().map_or(0, |e| e.cursor);
-    if last > config.cursor {
-        return Err(format!(
-            "field config: known.cursor is {}, but known.cmds goes on to {last}",
-            config.cursor
-        ));
+
+    /// The number of the last event is that of the last one there is, at least.
+    fn check_cursor(&mut self) {
+        let last = self.known.last().map_or(0, |e| e.cursor);
+        if last > self.cursor {
+            self.oddities.push(Oddity::CursorBehind { said: self.cursor, last });
+            self.cursor = last;
+        }
     }
-    Ok(())
 }
--- a/proxy/src/feed.rs
+++ b/proxy/src/feed.rs
@@ -3,6 +3,7 @@
 use crate::hub::{ListedServer, Message};
 use crate::limits::Limits;
 use crate::net::{Decode, WireError, drawn, messages, within, write_all};
+use crate::oddity::{self, Oddity};
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use fernspan_core::{Entry, ListKind, State};
@@ -26,33 +27,52 @@
     Last(u64),
 }
 
-/// Reads one event. `zones` gives the zones their numbers.
-pub fn event(v: &Value, zones: &[String]) -> Result<ListEvent, String> {
+/// Reads one event. `zones` gives the zones their numbers. A server that cannot be used is left out: one that this program
+/// does not understand must not keep it from the others.
+pub fn event(v: &Value, zones: &[String], oddities: &mut Vec<Oddity>) -> Result<ListEvent, String> {
     let cursor = json::need(v, "cursor", json::whole)?;
     let whole = json::maybe(v, "nodes.full", json::flag)?.unwrap_or(cursor == 1);
     let mut servers = Vec::new();
     for s in json::maybe(v, "nodes.servers", json::array)?.unwrap_or_default() {
-        let zone = json::maybe(s, "zone", json::text)?;
-        let started = json::maybe(s, "started_ms", json::span)?.filter(|ms| *ms > 0);
-        let entry = Entry {
-            server: 0,
-            zone: zone.and_then(|z| zones.iter().position(|n| n == z)).map_or(0, |i| i as u32),
-            place: json::need(s, "cell", json::place)?,
-            started: started.map(|ms| ms.saturating_mul(1000)),
-            state: json::need(s, "state", |v| match json::text(v)? {
-                "SERVING" => Some(State::Ready),
-                "DRAINING" => Some(State::Draining),
-                "DELETED" => Some(State::Gone),
-                _ => None,
-            })?,
-        };
-        // What has gone needs no address.
-        let addr = json::maybe(s, "addr", json::word)?.unwrap_or_default();
-        servers.push(ListedServer { id: json::need(s, "id", json::word)?, addr, entry });
+        match server(s, zones, oddities) {
+            Ok(listed) => servers.push(listed),
+            Err(reason) => {
+                let id = json::get(s, "id").and_then(json::word).unwrap_or_default();
+                oddities.push(Oddity::ServerLeftOut { id, reason });
+            }
+        }
     }
     Ok(ListEvent { cursor, kind: if whole { ListKind::Whole } else { ListKind::Changes }, servers })
 }
 
+fn server(v: &Value, zones: &[String], oddities: &mut Vec<Oddity>) -> Result<ListedServer, String> {
+    let id = json::need(v, "id", json::word)?;
+    let state = match json::need(v, "state", json::text)? {
+        "SERVING" => State::Ready,
+        "DRAINING" => State::Draining,
+        "DELETED" => State::Gone,
+        other => {
+            oddities.push(Oddity::ServerState { id: id.clone(), state: other.to_owned() });
+            State::Draining
+        }
+    };
+    // What has gone needs no address.
+    let addr = json::maybe(v, "addr", json::word)?.unwrap_or_default();
+    if state != State::Gone && addr.parse::<SocketAddr>().is_err() {
+        return Err(format!("addr of {id} cannot be {addr:?}"));
+    }
+    let zone = json::maybe(v, "zone", json::text)?;
+    let started = json::maybe(v, "started_ms", json::span)?.filter(|ms| *ms > 0);
+    let entry = Entry {
+        server: 0,
+        zone: zone.and_then(|z| zones.iter().position(|n| n == z)).map_or(0, |i| i as u32),
+        place: json::need(v, "cell", json::place)?,
+        started: started.map(|ms| ms.saturating_mul(1000)),
+        state,
+    };
+    Ok(ListedServer { id, addr, entry })
+}
+
 /// Cuts the channel into lines.
 struct Lines {
     most: usize,
@@ -71,10 +91,12 @@
             Ok(last) => Line::Last(last),
             Err(_) => {
                 let value = json::parse(text).map_err(|_| WireError::Malformed("line is no JSON"))?;
-                let event = event(&value, &self.zones).map_err(|e| {
+                let mut oddities = Vec::new();
+                let event = event(&value, &self.zones, &mut oddities).map_err(|e| {
                     tracing::warn!("command channel: {e}");
                     WireError::Malformed("event")
                 })?;
+                oddity::log(&oddities);
                 Line::Event(event)
             }
         };
--- a/proxy/src/handover.rs
+++ b/proxy/src/handover.rs
@@ -9,7 +9,7 @@
 use filedescriptor::FileDescriptor;
 use rustix::net::sockopt;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::fd::{AsFd, OwnedFd, RawFd};
 use std::time::Instant;
 
@@ -87,16 +87,32 @@
     Async::new(TcpListener::from(socket)).map_err(unusable)
 }
 
-/// Binds an address. One that is in use is waited for: a predecessor may be ending.
+/// A listening socket at `address`. One that is in use is waited for: a predecessor may be ending.
 ///
 /// # Errors
 /// The address cannot be bound, or was in use all the time.
 pub async fn bind(address: SocketAddr, limits: &Limits) -> Result<Async<TcpListener>, ListenError> {
+    when_free(address, limits, || Async::<TcpListener>::bind(address)).await
+}
+
+/// The same for datagrams.
+///
+/// # Errors
+/// As [`bind`].
+pub async fn bind_datagrams(address: SocketAddr, limits: &Limits) -> Result<Async<UdpSocket>, ListenError> {
+    when_free(address, limits, || Async::<UdpSocket>::bind(address)).await
+}
+
+async fn when_free<T>(
+    address: SocketAddr,
+    limits: &Limits,
+    bind: impl Fn() -> io::Result<T>,
+) -> Result<T, ListenError> {
     let begun = Instant::now();
     let mut waits = false;
     loop {
-        match Async::<TcpListener>::bind(address) {
-            Ok(listener) => return Ok(listener),
+        match bind() {
+            Ok(socket) => return Ok(socket),
             Err(e) if e.kind() == io::ErrorKind::AddrInUse && begun.elapsed() < limits.bind_timeout => {
                 if !waits {
                     tracing::warn!("{address} is in use: waiting for it");
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod log;
 pub mod management;
 pub mod net;
+pub mod oddity;
 pub mod operator;
 pub mod readiness;
 pub mod reasons;
--- a/proxy/src/startup.rs
+++ b/proxy/src/startup.rs
@@ -12,15 +12,17 @@
 use crate::readiness::Readiness;
 use crate::shutdown::{Ending, ShutdownSignal};
 use crate::signals::{Request, Requests};
-use crate::{config, dns, feed, isup, operator, sip};
+use crate::{config, dns, feed, isup, oddity, operator, sip};
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
-use async_io::Async;
+use async_io::{Async, Timer};
 use fernspan_core::ListKind;
+use fernspan_settings::json;
 use futures_lite::{future, pin};
 use std::io;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 /// What all tasks of the program run on.
 pub type Executor = Rc<LocalExecutor<'static>>;
@@ -136,12 +138,12 @@
     async fn build(executor: &Executor) -> Result<Proxy, StartError> {
         let mut services = Vec::new();
         let mut reload = None;
-        if let Some((path, text)) = file_of("PROXY_CONFIG")? {
+        if let Some((path, text)) = file_of("PROXY_CONFIG").await? {
             let (service, follows) = platform(path, &text, executor).await?;
             services.push(service);
             reload = Some(follows);
         }
-        if let Some((path, text)) = file_of("PROXY_ENUM")? {
+        if let Some((path, text)) = file_of("PROXY_ENUM").await? {
             services.push(enumeration(path, text, executor).await?);
         }
         if services.is_empty() {
@@ -177,12 +179,23 @@
     }
 }
 
-/// The file that a variable names, where it is set.
-fn file_of(variable: &str) -> Result<Option<(String, String)>, StartError> {
+/// How long a file that is not there, or not whole, is looked at again: it may still be written.
+const FILE_TIMEOUT: Duration = Duration::from_secs(1);
+/// How often.
+const FILE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The file that a variable names, where it is set. One that is no JSON has to be whole within a while.
+async fn file_of(variable: &str) -> Result<Option<(String, String)>, StartError> {
     let Ok(path) = std::env::var(variable) else { return Ok(None) };
-    match std::fs::read_to_string(&path) {
-        Ok(text) => Ok(Some((path, text))),
-        Err(source) => Err(StartError::Unreadable { path, source }),
+    let begun = Instant::now();
+    loop {
+        let read = std::fs::read_to_string(&path);
+        let whole = read.as_ref().is_ok_and(|text| json::parse(text).is_ok());
+        if whole || begun.elapsed() >= FILE_TIMEOUT {
+            let unreadable = |source| StartError::Unreadable { path: path.clone(), source };
+            return read.map_err(unreadable).map(|text| Some((path.clone(), text)));
+        }
+        Timer::after(FILE_INTERVAL).await;
     }
 }
 
@@ -193,6 +206,7 @@
     let text = std::fs::read_to_string(path).map_err(|e| e.to_string());
     match text.and_then(|text| config::read(&text)) {
         Ok(config) => {
+            oddity::log(&config.oddities);
             tracing::info!("{path}: read again, the command channel is at {}", config.channel);
             let _ = channel_addresses.force_send(config.channel);
         }
@@ -205,6 +219,7 @@
 async fn platform(path: String, text: &str, executor: &Executor) -> Result<(Service, Reload), StartError> {
     let config =
         config::read(text).map_err(|reason| StartError::Configuration { path: path.clone(), reason })?;
+    oddity::log(&config.oddities);
     let longest = config.start.settings.longest();
     let limits = Limits::new(config.sockets, config.memory, config.open_calls, config.connect, longest);
     let readiness = Readiness::default();
@@ -294,7 +309,7 @@
     executor.spawn(operator::watch(path.into(), text, limits.watch, queue.clone())).detach();
     let listener = handover::bind(operator.listen, &limits).await?;
     let at = address_of(&listener, operator.listen);
-    let socket = Async::<UdpSocket>::bind(at).map_err(|source| ListenError::Bind { address: at, source })?;
+    let socket = handover::bind_datagrams(at, &limits).await?;
     tracing::info!("ENUM: serving on {at}");
     let patience = operator.patience.as_micros() as u64;
     let enumerator = dns::front::Front::new(operator.zone, patience, limits.clone(), queue.clone());
--- a/proxy/tests/upgrade/mod.rs
+++ b/proxy/tests/upgrade/mod.rs
@@ -148,6 +148,23 @@
     passes_a_test(clients);
 }
 
+/// The same for the ENUM front, whose predecessor holds its address for datagrams a little longer.
+#[test]
+fn an_enum_front_waits_for_its_predecessor() {
+    let address = free_address();
+    let text = include_str!("../recorded/enum.json")
+        .replace("SERVERS", "")
+        .replace("127.0.0.1:0", &address.to_string());
+    let start = || Program::start_by(program(), "PROXY_ENUM", &text);
+    let mut old = start();
+    assert_eq!(old.address(), address);
+    let new = start();
+    assert!(new.says().ends_with("waiting for it"));
+    terminate(&old);
+    assert_eq!(old.exit_code(), Some(0));
+    assert_eq!(new.address(), address);
+}
+
 /// Guards against a start that ends though it was only asked to end: it waits for an address, and takes no client.
 #[test]
 fn a_start_that_waits_ends_when_asked() {
