Guard sending, repeating, answering, closing and starting at one place, and count violations

A guard in the hub, which all inputs, orders and replies pass, keeps an account of its own: one attempt out, the limit of attempts, the release wait, servers that serve, one final answer, nothing for a call that is owed none. The front adds that no connection is closed by this side while an answer is owed, and that a process which shares its listening socket takes no set-up before it knows the list. What would break one is counted, logged and held back; the count is in the last line of the log.

The last one was broken: a new process accepted from the inherited socket before it had any list, and took clients whom the old one would have served. It waits for the list now (readiness_waits_for_the_list_of_servers fails without, as the client's connection is gone from the queue).

--- a/proxy/src/engine.rs
+++ b/proxy/src/engine.rs
@@ -4,6 +4,7 @@
 //! answer, has one attempt out at most, is answered in time, waits for its release, and that nothing goes
 //! to a server that drains.
 
+use crate::invariant::AttemptRules;
 use crate::limits::Limits;
 use crate::reasons::{AnswerReason, Note, WithholdReason};
 use fernspan_core::{
@@ -252,6 +253,11 @@
         }
     }
 
+    /// What the settings say of a call's attempts.
+    pub fn attempt_rules(&self) -> AttemptRules {
+        AttemptRules { limit: self.attempt_limit, release_wait: self.release_wait }
+    }
+
     /// When `handle_due` wants to be called next.
     pub fn due(&self) -> Option<Time> {
         let timer = self.timers.first().map(|t| t.0);
--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -3,6 +3,7 @@
 //! for are that task's trouble, and what ends something always goes in.
 
 use crate::engine::{End, Engine, Input, Order, Output, Reply, Setup, Source};
+use crate::invariant::{Guard, Violations};
 use crate::limits::Limits;
 use crate::net::unix_now;
 use crate::readiness::Readiness;
@@ -68,6 +69,7 @@
     callers: HashMap<Source, Caller>,
     undelivered: VecDeque<(CallId, Reply)>,
     readiness: Readiness,
+    guard: Guard,
 }
 
 impl<B: Backend> Core<B> {
@@ -77,8 +79,10 @@
         limits: Limits,
         queue: Sender<Message>,
         readiness: Readiness,
+        violations: Violations,
     ) -> Self {
         Core {
+            guard: Guard::new(engine.attempt_rules(), violations),
             engine,
             backend,
             limits,
@@ -114,14 +118,13 @@
                     if let Input::SourceGone(source) = input {
                         self.callers.remove(&source);
                     }
-                    log_input(&input);
-                    self.engine.handle(now, input, &mut out);
+                    self.handle(now, input, &mut out);
                 }
                 Some(Message::Open(source, replies)) => self.caller_opened(source, replies),
                 Some(Message::Undelivered(id, reply)) => out.push(Output::Reply(None, id, reply)),
                 Some(Message::List(kind, servers)) => self.list(now, kind, servers, &mut out),
                 Some(Message::Stop) => {
-                    self.engine.handle(now, Input::Stop(now + self.limits.stop), &mut out);
+                    self.handle(now, Input::Stop(now + self.limits.stop), &mut out);
                 }
                 Some(Message::CallersGone) => callers_gone = true,
                 None => {}
@@ -136,6 +139,13 @@
         }
     }
 
+    /// Passes an input on to the engine. Whatever reaches that comes by here.
+    fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        log_input(&input);
+        self.guard.hears(now, &input);
+        self.engine.handle(now, input, out);
+    }
+
     fn caller_opened(&mut self, source: Source, replies: Sender<(CallId, Reply)>) {
         while let Some(reply) = self.undelivered.pop_front() {
             if let Err(back) = replies.try_send(reply) {
@@ -181,7 +191,7 @@
             self.links.retain(|number, _| listed(number));
             self.numbers.retain(|_, number| listed(number));
         }
-        self.engine.handle(now, Input::List(kind, entries), out);
+        self.handle(now, Input::List(kind, entries), out);
         if kind != ListKind::Changes {
             self.readiness.server_list_known();
         }
@@ -192,21 +202,25 @@
         while let Some(output) = todo.pop_front() {
             match output {
                 Output::Reply(source, id, reply) => {
+                    if !self.guard.allows_reply(source, id, &reply) {
+                        continue;
+                    }
                     let stands = matches!(reply, Reply::Stands(_));
                     // Guards against a call that stands for a caller who was never told so.
                     if !self.reply(source, id, reply) && stands {
                         let mut more = Vec::new();
-                        self.engine.handle(now, Input::Unheard(id), &mut more);
+                        self.handle(now, Input::Unheard(id), &mut more);
                         todo.extend(more);
                     }
                 }
                 Output::Order(server, order) => {
+                    let allowed = self.guard.allows_order(now, server, &order);
                     log_order(server, &order);
                     // Set-ups alone are bounded. What calls them off, a drain and a release have to get through, and
                     // of these there are no more than calls.
                     let starts = matches!(order, Order::Start(_));
                     let takes = |l: &&Link| !starts || l.orders.len() < self.limits.link_queue;
-                    let lost = match self.links.get(&server).filter(takes) {
+                    let lost = match self.links.get(&server).filter(takes).filter(|_| allowed) {
                         Some(link) => link.orders.try_send(order).err().map(|e| e.into_inner()),
                         None => Some(order),
                     };
@@ -215,7 +229,7 @@
                         let end = End::plain(Outcome::NotSent);
                         let input = Input::Ended { id: setup.id, attempt: setup.attempt, server, end };
                         let mut more = Vec::new();
-                        self.engine.handle(now, input, &mut more);
+                        self.handle(now, input, &mut more);
                         todo.extend(more);
                     }
                 }
@@ -343,7 +357,14 @@
         let engine = engine(&limits);
         let (queue, messages) = async_channel::unbounded();
         let stuck = Stuck::default();
-        let core = Core::new(engine, stuck.clone(), limits, queue.clone(), Readiness::default());
+        let core = Core::new(
+            engine,
+            stuck.clone(),
+            limits,
+            queue.clone(),
+            Readiness::default(),
+            Violations::default(),
+        );
         let (replies, _answers) = async_channel::unbounded();
         let executor = LocalExecutor::new();
         let _core = executor.spawn(core.run(messages));
@@ -387,7 +408,14 @@
         limits.caller_queue = 2;
         let engine = engine(&limits);
         let (queue, messages) = async_channel::unbounded();
-        let core = Core::new(engine, Stuck::default(), limits, queue.clone(), Readiness::default());
+        let core = Core::new(
+            engine,
+            Stuck::default(),
+            limits,
+            queue.clone(),
+            Readiness::default(),
+            Violations::default(),
+        );
         let (replies, answers) = async_channel::unbounded();
         let executor = LocalExecutor::new();
         let _core = executor.spawn(core.run(messages));
--- a/proxy/src/isup/front.rs
+++ b/proxy/src/isup/front.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::engine::{Input, Reply, Request, Source};
 use crate::hub;
+use crate::invariant::{Invariant, Violations};
 use crate::limits::Limits;
 use crate::net::{Next, Seat, accept_all, messages_noting, unix_now, within};
 use crate::readiness::Readiness;
@@ -38,6 +39,9 @@
     pub core: Sender<hub::Message>,
     /// What a test tells.
     pub readiness: Readiness,
+    /// Another process accepts from the same socket, and takes what this one does not.
+    pub shares_socket: bool,
+    pub violations: Violations,
 }
 
 /// The figures of a set-up, as in `dest:2;width:1;via:-1`.
@@ -146,7 +150,7 @@
         let (flushed, flushes) = async_channel::bounded(1);
         let table = RefCell::new(Table::default());
         let hand = Hand::default();
-        {
+        let end = {
             let writing = async {
                 self.write(&stream, &to_write, &own_to_write, &hand, &table, seat, &flushed).await;
                 flushed.close();
@@ -159,6 +163,7 @@
             pin!(writing);
             let reading = self.read(&stream, source, &table, &own, seat);
             let end = future::or(reading, future::or(broken, &mut writing)).await;
+            tracing::debug!(connection = source, reason = ?end, "caller's connection ends");
             let ending = async {
                 if end == End::Spoilt {
                     self.answer_the_rest(&stream, &table, &to_write, &own, &flushes, &hand).await;
@@ -177,8 +182,12 @@
                 within(self.limits.write, future::or(ending, &mut writing)).await;
                 let _ = stream.get_ref().shutdown(Shutdown::Write);
             }
-        }
+            end
+        };
         to_write.close();
+        if end == End::Ours && !table.borrow().open.is_empty() {
+            self.violations.count(Invariant::ClosedWhileOwed, table.borrow().open.first().copied());
+        }
         // At once where nothing is open, so that a set-up which crosses the close is the nearer to it.
         let nothing_open = table.borrow().open.is_empty();
         let stream = Some(stream).filter(|_| !nothing_open);
@@ -320,6 +329,9 @@
             }
             SETUP => match self.request(message, source) {
                 Ok(request) => {
+                    if self.shares_socket && self.readiness.serves().is_err() {
+                        self.violations.count(Invariant::TakenBeforeReady, Some(call));
+                    }
                     table.open.insert(call);
                     Read::Input(Input::Call(request))
                 }
@@ -571,7 +583,14 @@
                 tenants: Vec::new(),
                 hold_off: None,
             };
-            let front = Rc::new(Front { names, limits, core, readiness: Readiness::default() });
+            let front = Rc::new(Front {
+                names,
+                limits,
+                core,
+                readiness: Readiness::default(),
+                shares_socket: false,
+                violations: Violations::default(),
+            });
             let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a free port");
             let at = listener.get_ref().local_addr().expect("bound");
             let executor = Rc::new(LocalExecutor::new());
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod feed;
 pub mod handover;
 pub mod hub;
+pub mod invariant;
 pub mod isup;
 pub mod limits;
 pub mod log;
--- a/proxy/src/readiness.rs
+++ b/proxy/src/readiness.rs
@@ -1,5 +1,6 @@
 //! Whether this process takes clients.
 
+use async_channel::{Receiver, Sender};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -21,17 +22,32 @@
 #[derive(Clone, Default)]
 pub struct Readiness(Rc<State>);
 
-#[derive(Default)]
 struct State {
-    server_list_known: Cell<bool>,
+    /// Closed once the list is known.
+    server_list: (Sender<()>, Receiver<()>),
     accepting: Cell<bool>,
     shutting_down: Cell<bool>,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        State {
+            server_list: async_channel::bounded(1),
+            accepting: Cell::new(false),
+            shutting_down: Cell::new(false),
+        }
+    }
+}
+
 impl Readiness {
     /// The core has the list of servers.
     pub fn server_list_known(&self) {
-        self.0.server_list_known.set(true);
+        self.0.server_list.0.close();
+    }
+
+    /// Waits until the core has the list of servers.
+    pub async fn wait_for_server_list(&self) {
+        let _ = self.0.server_list.1.recv().await;
     }
 
     /// Connections are accepted from now on.
@@ -44,12 +60,17 @@
         !self.0.shutting_down.replace(true)
     }
 
+    /// Whether the core has the list of servers.
+    pub fn knows_server_list(&self) -> bool {
+        self.0.server_list.0.is_closed()
+    }
+
     /// Whether a set-up would be served.
     ///
     /// # Errors
     /// Why none would be.
     pub fn serves(&self) -> Result<(), NotReady> {
-        if !self.0.server_list_known.get() {
+        if !self.knows_server_list() {
             return Err(NotReady::NoServerList);
         }
         if !self.0.accepting.get() {
--- a/proxy/src/startup.rs
+++ b/proxy/src/startup.rs
@@ -6,6 +6,7 @@
 use crate::engine::Engine;
 use crate::handover::{self, ListenError};
 use crate::hub::{Core, Message};
+use crate::invariant::Violations;
 use crate::limits::Limits;
 use crate::management::Management;
 use crate::net::within;
@@ -74,6 +75,7 @@
     limits: Limits,
     readiness: Readiness,
     shutdown: ShutdownSignal,
+    violations: Violations,
 }
 
 impl Service {
@@ -155,6 +157,7 @@
     /// Serves until the last service has ended after a signal.
     async fn serve(self, mut requests: Requests, executor: &Executor) {
         let Proxy { services, reload } = self;
+        let violations: Vec<Violations> = services.iter().map(|s| s.violations.clone()).collect();
         let endings: Vec<Ending> = services.iter().map(Service::ending).collect();
         let signalled = async {
             loop {
@@ -172,6 +175,8 @@
             }
         };
         future::or(served, signalled).await;
+        let violations: u64 = violations.iter().map(Violations::total).sum();
+        tracing::info!(violations, "all connections have ended");
     }
 
     fn read_again(&self) {
@@ -223,6 +228,7 @@
     let longest = config.start.settings.longest();
     let limits = Limits::new(config.sockets, config.memory, config.open_calls, config.connect, longest);
     let readiness = Readiness::default();
+    let violations = Violations::default();
     if let Some(address) = config.management.or_else(management_address) {
         let management = Management { limits: limits.clone(), readiness: readiness.clone() };
         executor.spawn(Rc::new(management).listen(address, executor.clone())).detach();
@@ -243,7 +249,8 @@
     };
     let setups = sip::link::Setups { shared: Rc::new(shared), executor: executor.clone() };
     let engine = Engine::new(config.start.settings, config.seed, &limits);
-    let core = Core::new(engine, setups, limits.clone(), queue.clone(), readiness.clone());
+    let core =
+        Core::new(engine, setups, limits.clone(), queue.clone(), readiness.clone(), violations.clone());
     let core = executor.spawn(core.run(messages));
     let inherited = std::env::var("PROXY_FD").ok();
     let listener = handover::client_listener(inherited.as_deref(), config.listen, &limits).await?;
@@ -269,15 +276,36 @@
         limits: limits.clone(),
         core: queue.clone(),
         readiness: readiness.clone(),
+        shares_socket: inherited.is_some(),
+        violations: violations.clone(),
     };
     let shutdown = ShutdownSignal::default();
-    let connections = isup::front::listen(Rc::new(front), listener, executor.clone(), shutdown.clone());
+    let connections = take_callers(front, listener, executor.clone(), shutdown.clone());
     let connections = executor.spawn(connections);
-    readiness.accepting();
-    let service = Service { queue, core, connections, datagrams: None, limits, readiness, shutdown };
+    let service =
+        Service { queue, core, connections, datagrams: None, limits, readiness, shutdown, violations };
     Ok((service, Reload { path, channel_addresses }))
 }
 
+/// Accepts callers until the shutdown has closed their last connection. From a socket that another process accepts from as
+/// well, nobody is taken before the list of servers is known.
+async fn take_callers(
+    front: isup::front::Front,
+    listener: Async<TcpListener>,
+    executor: Executor,
+    shutdown: ShutdownSignal,
+) {
+    let readiness = front.readiness.clone();
+    if front.shares_socket {
+        future::or(readiness.wait_for_server_list(), shutdown.closes_when_idle()).await;
+        if !readiness.knows_server_list() {
+            return;
+        }
+    }
+    readiness.accepting();
+    isup::front::listen(Rc::new(front), listener, executor, shutdown).await;
+}
+
 /// The management line's address, where the configuration has none. A process serves without one as well.
 fn management_address() -> Option<SocketAddr> {
     let value = std::env::var("PROXY_MGMT").ok()?;
@@ -302,7 +330,15 @@
             .map_err(|e| StartError::System { what: "no random numbers", source: io::Error::other(e) })?,
     };
     let engine = Engine::new(operator.settings, seed, &limits);
-    let core = Core::new(engine, Rc::new(backend), limits.clone(), queue.clone(), readiness.clone());
+    let violations = Violations::default();
+    let core = Core::new(
+        engine,
+        Rc::new(backend),
+        limits.clone(),
+        queue.clone(),
+        readiness.clone(),
+        violations.clone(),
+    );
     let core = executor.spawn(core.run(messages));
 
     tell(&queue, Message::List(ListKind::Saved, operator.cluster.servers)).await;
@@ -319,7 +355,7 @@
     let connections = enumerator.connections(listener, executor.clone(), shutdown.clone());
     let connections = executor.spawn(connections);
     readiness.accepting();
-    Ok(Service { queue, core, connections, datagrams, limits, readiness, shutdown })
+    Ok(Service { queue, core, connections, datagrams, limits, readiness, shutdown, violations })
 }
 
 /// The address that a socket listens on.
--- a/proxy/tests/play/mod.rs
+++ b/proxy/tests/play/mod.rs
@@ -198,6 +198,9 @@
             done.unwrap_or_else(|e| panic!("line {n}: {line}\n{e}\nits log:\n{}", log()));
         }
     }
+    let broken = |line: &String| line.contains("an invariant would be broken");
+    let log: Vec<String> = play.program.iter().flat_map(|p| p.log.try_iter()).collect();
+    assert!(!log.iter().any(broken), "{}", log.join("\n"));
 }
 
 /// Puts the text of `def name text` in the place of `$name(a|b)`, with its `%1` and `%2` filled in.
--- a/proxy/tests/upgrade/mod.rs
+++ b/proxy/tests/upgrade/mod.rs
@@ -221,6 +221,10 @@
     follows.read_exact(&mut resume).expect("it resumes");
     assert_eq!(&resume, b"resume 0\n");
     assert!(manage(management, "readyz").is_ok_and(|a| a.starts_with("error")), "no list is known");
+    // Until then clients are left to whoever else accepts from the socket.
+    let client = TcpStream::connect(platform.clients_address()).expect("connected");
+    let (_taken, from) = platform.listener.accept().expect("it waits there");
+    assert_eq!(from, client.local_addr().expect("connected"));
     follows
         .write_all(b"{\"cursor\":1,\"nodes\":{\"version\":1,\"full\":true,\"servers\":[]}}\n")
         .expect("sent");
