Let the test of a list that is waited for give the program time to take clients

Five clients now wait 0.3 s; without the wait the test fails ('it waits there': would block), with it it passes.

--- a/proxy/tests/upgrade/mod.rs
+++ b/proxy/tests/upgrade/mod.rs
@@ -80,6 +80,12 @@
     }
 }
 
+/// The next connection in the queue, and where it comes from.
+fn accept_from(listener: &TcpListener) -> std::io::Result<(TcpStream, SocketAddr)> {
+    listener.set_nonblocking(true)?;
+    listener.accept()
+}
+
 fn passes_a_test(at: SocketAddr) {
     let mut client = TcpStream::connect(at).expect("connected");
     client.set_read_timeout(Some(PATIENCE)).expect("a time-out");
@@ -222,9 +228,14 @@
     assert_eq!(&resume, b"resume 0\n");
     assert!(manage(management, "readyz").is_ok_and(|a| a.starts_with("error")), "no list is known");
     // Until then clients are left to whoever else accepts from the socket.
-    let client = TcpStream::connect(platform.clients_address()).expect("connected");
-    let (_taken, from) = platform.listener.accept().expect("it waits there");
-    assert_eq!(from, client.local_addr().expect("connected"));
+    let clients: Vec<TcpStream> =
+        (0..5).map(|_| TcpStream::connect(platform.clients_address()).expect("connected")).collect();
+    // Time enough for the program to take them.
+    std::thread::sleep(Duration::from_millis(300));
+    for client in &clients {
+        let (_taken, from) = accept_from(&platform.listener).expect("it waits there");
+        assert_eq!(from, client.local_addr().expect("connected"));
+    }
     follows
         .write_all(b"{\"cursor\":1,\"nodes\":{\"version\":1,\"full\":true,\"servers\":[]}}\n")
         .expect("sent");
