Take all calls of a connection off the table before the controller hears that they left

A crowd's connection ended with many calls open; the engine took them off one by one and told the controller each time, and upon the first the controller decided on calls behind it whose caller was gone as well: a refusal to nobody, or an attempt sent and given up at once, which costs a server work.

All are taken off first.

--- a/proxy/src/engine.rs
+++ b/proxy/src/engine.rs
@@ -305,8 +305,10 @@
                 let mut gone: Vec<CallId> =
                     self.calls.iter().filter(|(_, c)| open(c)).map(|(id, _)| *id).collect();
                 gone.sort_unstable();
-                for id in gone {
-                    self.left(id, out);
+                // All are off the table before the controller hears of the first: it may decide on any call then.
+                let events: Vec<Event> = gone.into_iter().filter_map(|id| self.take_off(id, out)).collect();
+                for event in events {
+                    self.tell(event, out);
                 }
             }
             Input::Stood { id, attempt, server, payload } => self.stood(id, attempt, server, payload, out),
@@ -363,9 +365,17 @@
         self.tell(Event::Call(new), out);
     }
 
-    /// A caller that leaves is owed nothing. What it leaves behind at a server is given up or released.
+    /// A caller that leaves is owed nothing.
     fn left(&mut self, id: CallId, out: &mut Vec<Output>) {
-        let Some(call) = self.calls.remove(&id) else { return };
+        if let Some(event) = self.take_off(id, out) {
+            self.tell(event, out);
+        }
+    }
+
+    /// Takes a call whose caller has left off the table, with what is to be told to the controller. What it leaves behind at
+    /// a server is given up or released.
+    fn take_off(&mut self, id: CallId, out: &mut Vec<Output>) -> Option<Event> {
+        let call = self.calls.remove(&id)?;
         self.ended.add(id);
         match call.stage {
             Stage::Open { deadline, out: attempt, .. } => {
@@ -373,12 +383,12 @@
                 if let Some((_, server, _)) = attempt {
                     out.push(Output::Order(server, Order::Cancel(id)));
                 }
-                self.tell(Event::Left(id), out);
+                Some(Event::Left(id))
             }
             Stage::Stands { attempt, server, .. } => {
                 out.push(Output::Order(server, Order::Release(id, CAUSE_NORMAL)));
                 out.push(Output::Reply(Some(call.source), id, Reply::Heard));
-                self.tell(finished(id, attempt, server, Outcome::Cancelled, None), out);
+                Some(finished(id, attempt, server, Outcome::Cancelled, None))
             }
         }
     }
