Tell a server that its release was heard only once a caller has it

A new process ran beside the one at which they stood; their server's BYE came on the new one's connection, which knew neither the calls nor any caller, answered 200 and kept the release for whoever would come. The server then had no reason to say it again, so that the old process, which had the callers, never heard of it. Had the new process been killed meanwhile, the release would have been lost.

A release of a call that did not stand in this process is answered as it is passed on, at once or when a caller connects; without an answer the server says it on its next connection as well. A repeated one that was passed on is answered. The link's own test has the core order the answer.

--- a/proxy/src/engine.rs
+++ b/proxy/src/engine.rs
@@ -149,6 +149,8 @@
     Cancel(CallId),
     /// A call that stands is released.
     Release(CallId, u8),
+    /// A release that the server has written was heard: by its caller, or here.
+    Heard(CallId),
     /// Nothing new may go out; what is queued ends as not sent.
     Drain,
     /// The server is asked for its load.
@@ -163,6 +165,15 @@
     /// To a caller; without a source, on any connection from callers.
     Reply(Option<Source>, CallId, Reply),
     Order(ServerId, Order),
+    /// A server's release of a call that this process does not know: it stood at one that shares or had this address.
+    /// `news` where the server has not said so before. The server hears that it was heard only once it is passed on:
+    /// else the other process may still get it, on its next connection.
+    PassOn {
+        server: ServerId,
+        id: CallId,
+        cause: u8,
+        news: bool,
+    },
     Note(Note),
 }
 
@@ -460,13 +471,13 @@
                 self.tell(finished(id, n, server, outcome, report), out);
             }
             Some(_) => {}
-            // Unknown: it stood before this program started. Passed on once.
             None => {
-                if self.ended.add(id) {
-                    out.push(Output::Reply(None, id, Reply::Over(cause)));
-                }
+                let news = self.ended.add(id);
+                out.push(Output::PassOn { server, id, cause, news });
+                return;
             }
         }
+        out.push(Output::Order(server, Order::Heard(id)));
     }
 
     /// The calls that stand at a server whose process is gone are over, and nobody else will say so.
--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -67,7 +67,8 @@
     next: ServerId,
     links: BTreeMap<ServerId, Link>,
     callers: HashMap<Source, Caller>,
-    undelivered: VecDeque<(CallId, Reply)>,
+    /// Releases that wait for a caller's connection, with the server that is to hear that they were heard.
+    undelivered: VecDeque<(Option<ServerId>, (CallId, Reply))>,
     readiness: Readiness,
     guard: Guard,
 }
@@ -120,7 +121,7 @@
                     }
                     self.handle(now, input, &mut out);
                 }
-                Some(Message::Open(source, replies)) => self.caller_opened(source, replies),
+                Some(Message::Open(source, replies)) => self.caller_opened(now, source, replies),
                 Some(Message::Undelivered(id, reply)) => out.push(Output::Reply(None, id, reply)),
                 Some(Message::List(kind, servers)) => self.list(now, kind, servers, &mut out),
                 Some(Message::Stop) => {
@@ -146,14 +147,18 @@
         self.engine.handle(now, input, out);
     }
 
-    fn caller_opened(&mut self, source: Source, replies: Sender<(CallId, Reply)>) {
-        while let Some(reply) = self.undelivered.pop_front() {
+    fn caller_opened(&mut self, now: Time, source: Source, replies: Sender<(CallId, Reply)>) {
+        let mut passed_on = Vec::new();
+        while let Some((server, reply)) = self.undelivered.pop_front() {
+            let id = reply.0;
             if let Err(back) = replies.try_send(reply) {
-                self.undelivered.push_front(back.into_inner());
+                self.undelivered.push_front((server, back.into_inner()));
                 break;
             }
+            passed_on.extend(server.map(|server| Output::Order(server, Order::Heard(id))));
         }
         self.callers.insert(source, Caller { replies, served: 0 });
+        self.carry_out(now, passed_on);
     }
 
     fn list(&mut self, now: Time, kind: ListKind, servers: Vec<ListedServer>, out: &mut Vec<Output>) {
@@ -207,7 +212,7 @@
                     }
                     let stands = matches!(reply, Reply::Stands(_));
                     // Guards against a call that stands for a caller who was never told so.
-                    if !self.reply(source, id, reply) && stands {
+                    if !self.reply(source, None, id, reply) && stands {
                         let mut more = Vec::new();
                         self.handle(now, Input::Unheard(id), &mut more);
                         todo.extend(more);
@@ -233,14 +238,23 @@
                         todo.extend(more);
                     }
                 }
+                Output::PassOn { server, id, cause, news } => {
+                    let passed_on = match news {
+                        true => self.reply(None, Some(server), id, Reply::Over(cause)),
+                        false => !self.undelivered.iter().any(|(_, (waiting, _))| *waiting == id),
+                    };
+                    if passed_on {
+                        todo.push_back(Output::Order(server, Order::Heard(id)));
+                    }
+                }
                 Output::Note(note) => note.log(),
             }
         }
     }
 
     /// What follows a call that stood may go on any connection; an answer has only its own.
-    /// Says whether it has gone on its way.
-    fn reply(&mut self, source: Option<Source>, id: CallId, reply: Reply) -> bool {
+    /// Says whether it has gone on its way; a release that has not waits, with the server that is to hear of it.
+    fn reply(&mut self, source: Option<Source>, server: Option<ServerId>, id: CallId, reply: Reply) -> bool {
         let anywhere = matches!(reply, Reply::Over(_));
         let mut item = (id, reply);
         loop {
@@ -262,7 +276,7 @@
             self.callers.remove(&at);
         }
         if anywhere && self.undelivered.len() < self.limits.undelivered {
-            self.undelivered.push_back(item);
+            self.undelivered.push_back((server, item));
         }
         false
     }
--- a/proxy/src/sip/link.rs
+++ b/proxy/src/sip/link.rs
@@ -249,6 +249,7 @@
             link.write_all(bye).await.expect("sent");
             let over = within(Duration::from_secs(10), told.recv()).await.expect("in time");
             assert!(matches!(over, Ok(hub::Message::Input(Input::Spoke { .. }))), "{over:?}");
+            orders.try_send(Order::Heard(10)).expect("room");
             let mut bytes = [0; 256];
             let read = within(Duration::from_secs(10), link.read(&mut bytes)).await.expect("in time");
             assert!(bytes[..read.expect("open")].starts_with(b"SIP/2.0 200"), "with a core it is heard");
--- a/proxy/src/sip/state.rs
+++ b/proxy/src/sip/state.rs
@@ -89,6 +89,8 @@
     releases: Vec<(CallId, u8)>,
     /// Releases that went out on a connection of late and were not heard, the oldest first.
     unheard: VecDeque<(CallId, u8, u64, Time)>,
+    /// Answers to the server's releases of calls that did not stand here, with the connections that they belong on.
+    unacknowledged: VecDeque<(CallId, u64, Vec<u8>)>,
     /// Calls that were refused on a connection of late, the oldest first.
     refused: VecDeque<(CallId, u64, Time)>,
     /// Set-ups that wait until no second copy of such a refusal can come, and when that is.
@@ -130,6 +132,7 @@
             standing: BTreeSet::new(),
             releases: Vec::new(),
             unheard: VecDeque::new(),
+            unacknowledged: VecDeque::new(),
             refused: VecDeque::new(),
             held: VecDeque::new(),
             probe: None,
@@ -246,6 +249,15 @@
                 self.release(call, cause);
                 Vec::new()
             }
+            Order::Heard(call) => {
+                let here = |u: &(CallId, u64, Vec<u8>)| u.0 == call;
+                if let Some(position) = self.unacknowledged.iter().position(here)
+                    && let Some((_, conn, heard)) = self.unacknowledged.remove(position)
+                {
+                    self.write(conn, heard);
+                }
+                Vec::new()
+            }
             Order::Drain => {
                 // Guards against a set-up that a slow connect would let out after the drain was told.
                 self.draining = true;
@@ -350,6 +362,15 @@
         self.unheard.push_back((call, cause, conn, now));
     }
 
+    /// Keeps the answer to a release of a call that did not stand here until it is passed on. Without an answer the server
+    /// says it again on its next connection, which may be that of the process at which the call stood.
+    fn hear_later(&mut self, call: CallId, conn: u64, heard: Vec<u8>) {
+        if self.unacknowledged.len() >= self.shared.limits.undelivered {
+            self.unacknowledged.pop_front();
+        }
+        self.unacknowledged.push_back((call, conn, heard));
+    }
+
     /// The connection heard last.
     fn best(&self) -> Option<u64> {
         self.conns.iter().filter(|(_, c)| c.up).max_by_key(|(_, c)| c.heard).map(|(id, _)| *id)
@@ -465,6 +486,7 @@
     fn close(&mut self, conn: u64) -> Option<Conn> {
         let closed = self.conns.remove(&conn)?;
         self.todo.push(Do::Close(conn));
+        self.unacknowledged.retain(|u| u.1 != conn);
         // Guards a call that stands for nobody against a release which met a connection that was closed already,
         // whichever side has closed it.
         let heard = self.shared.limits.heard.as_micros() as Time;
@@ -610,11 +632,17 @@
         match &m.start {
             Start::Request { method } => match method.as_str() {
                 "BYE" => {
-                    self.write(conn, m.response("200 OK"));
-                    let Some(id) = m.call() else { return Vec::new() };
-                    self.standing.remove(&id);
-                    // Its answer may still come, and nobody waits for it.
-                    self.setups.remove(&id);
+                    let heard = m.response("200 OK");
+                    let Some(id) = m.call() else {
+                        self.write(conn, heard);
+                        return Vec::new();
+                    };
+                    // An answer may still come for one that was open, and nobody waits for it.
+                    let known = self.standing.remove(&id) | self.setups.remove(&id).is_some();
+                    match known {
+                        true => self.write(conn, heard),
+                        false => self.hear_later(id, conn, heard),
+                    }
                     let cause = m.cause().unwrap_or(CAUSE_NORMAL);
                     vec![Input::Over { id, server: self.server, cause, report: m.report() }]
                 }
--- a/rig/src/emulate.rs
+++ b/rig/src/emulate.rs
@@ -639,6 +639,11 @@
                     }
                 }
             },
+            Output::PassOn { server, id, cause, news } => {
+                if news && self.reply(None, id, Reply::Over(cause), turn, world) {
+                    turn.todo.push_back(Work::Output(Output::Order(server, Order::Heard(id))));
+                }
+            }
             Output::Note(note) => note.log(),
         }
     }
