--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Both ways of playing a scenario share one model of everything round the proxies (`fernspan-model`):
 //! [`emulate`] drives decision modules in virtual time, [`real`] starts the program itself many times on loopback
-//! addresses.
+//! addresses. [`soak`] is apart from both: seeded faults that overlap, on real processes.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -10,5 +10,6 @@
 pub mod plot;
 pub mod real;
 pub mod series;
+pub mod soak;
 pub mod told;
 pub mod wire;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -10,6 +10,7 @@
 use fernspan_rig::plot;
 use fernspan_rig::real::{self, Options, Rig};
 use fernspan_rig::series::{self, Report};
+use fernspan_rig::soak::{self, Outcome, plan::Plan, world::Places};
 use serde_json::Value;
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
@@ -52,6 +53,27 @@
         #[arg(long, value_name = "DIR")]
         logs: Option<PathBuf>,
     },
+    /// Plays seeded faults that overlap on real processes, and says which rules were broken
+    Soak {
+        /// The first seed
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds, one after another
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// How long clients call in each, in seconds
+        #[arg(long, default_value_t = 12)]
+        seconds: u64,
+        /// The program to start; the one beside this one if not given
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
+        /// A folder for configurations and logs, which stay there
+        #[arg(long, value_name = "DIR")]
+        logs: Option<PathBuf>,
+        /// Prints what would happen, and plays nothing
+        #[arg(long)]
+        plan: bool,
+    },
     /// Says before the day what losing each site would do
     Forecast {
         /// The scenario, a JSON file: its servers, proxies and callers; its faults do not count
@@ -126,6 +148,15 @@
         }
         Command::Plot { reports, out } => draw(&reports, &out).map(|()| ExitCode::SUCCESS),
         Command::Compare { a, b } => compare(&a, &b).map(|()| ExitCode::SUCCESS),
+        Command::Soak { seed, seeds, seconds, plan: true, .. } => {
+            for seed in seed..seed.saturating_add(seeds) {
+                print_plan(&Plan::draw(seed, seconds * 1_000_000));
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Soak { seed, seeds, seconds, program, logs, .. } => {
+            soak(seed, seeds, seconds, program, logs)
+        }
         Command::Hold { sockets, parent, program } => {
             Err(format!("{}: {}", program.display(), real::hold(sockets, parent, &program)))
         }
@@ -418,3 +449,72 @@
     }
     Ok(())
 }
+
+/// Plays seeds one after another; a broken rule in any of them fails the whole.
+fn soak(
+    first: u64,
+    count: u64,
+    seconds: u64,
+    program: Option<PathBuf>,
+    logs: Option<PathBuf>,
+) -> Result<ExitCode, String> {
+    let holder = std::env::current_exe().map_err(|e| format!("this program's own name: {e}"))?;
+    let program = program.unwrap_or_else(|| holder.with_file_name("fernspan"));
+    let kept = logs.is_some();
+    let parent = logs.unwrap_or_else(std::env::temp_dir);
+    let mut red = Vec::new();
+    for seed in first..first.saturating_add(count) {
+        let folder = parent.join(format!("fernspan-soak-{}-{seed}", std::process::id()));
+        let places = Places { program: program.clone(), holder: holder.clone(), folder: folder.clone() };
+        let outcome = soak::play(seed, seconds * 1_000_000, places).map_err(|e| e.to_string())?;
+        report_soak(&outcome);
+        if !outcome.violations.is_empty() {
+            red.push(seed);
+        }
+        if !kept && outcome.violations.is_empty() {
+            let _ = std::fs::remove_dir_all(&folder);
+        }
+    }
+    match red.is_empty() {
+        true => println!("rules kept in {count} seeds"),
+        false => println!("rules broken in {} of {count} seeds: {red:?}", red.len()),
+    }
+    Ok(if red.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// A line for the run, and one for each broken rule.
+fn report_soak(outcome: &Outcome) {
+    let Outcome { plan, counts, processes, late, violations } = outcome;
+    println!(
+        "seed {}: {} proxies, {processes} processes, {} servers, deadline {} ms{}, {} faults; {} taken, {} stood, {} \
+         turned away, {} given up, {} crossed a close, {} with a killed process; late {} ms{}",
+        plan.seed,
+        plan.proxies,
+        plan.servers,
+        plan.deadline / 1_000,
+        if plan.crowd { ", crowds" } else { "" },
+        plan.faults.len(),
+        counts.taken,
+        counts.stood,
+        counts.turned,
+        counts.left,
+        counts.crossed,
+        counts.excused,
+        late / 1_000,
+        if outcome.counts_as_run() { "" } else { " (too busy: does not count)" },
+    );
+    for violation in violations.iter().take(20) {
+        println!("  {violation}");
+    }
+    if !violations.is_empty() {
+        print_plan(plan);
+    }
+}
+
+/// What goes wrong in a run, a line each; times are from when clients begin to call.
+fn print_plan(plan: &Plan) {
+    println!("  seed {}:", plan.seed);
+    for planned in &plan.faults {
+        println!("    {:.3} s: {:?}", planned.at as f64 / 1e6, planned.fault);
+    }
+}
--- a/rig/src/real.rs
+++ b/rig/src/real.rs
@@ -890,7 +890,7 @@
 }
 
 /// A net of this run's own within 127/8, kept by a listener in it.
-fn claim_net() -> Result<(u8, std::net::TcpListener), Failed> {
+pub(crate) fn claim_net() -> Result<(u8, std::net::TcpListener), Failed> {
     let mut last = io::Error::from(io::ErrorKind::AddrInUse);
     for net in 16..=250 {
         let address = SocketAddrV4::new(Ipv4Addr::new(127, net, 255, 254), LISTEN);
