--- a/rig/src/soak/server.rs
+++ b/rig/src/soak/server.rs
@@ -57,11 +57,27 @@
 
 struct Connection {
     number: u64,
-    writes: Sender<Vec<u8>>,
+    writes: Sender<Write>,
     /// Closed when the server dies or the path is cut.
     interrupts: Sender<()>,
 }
 
+/// Bytes on their way to a proxy, and the call that they say is over.
+struct Write {
+    bytes: Vec<u8>,
+    over: Option<CallId>,
+}
+
+impl Write {
+    fn message(message: &FromServer) -> Write {
+        Write { bytes: wire::from_server(message), over: None }
+    }
+
+    fn release(call: CallId, report: State) -> Write {
+        Write { bytes: wire::from_server(&FromServer::Bye(call, false, report)), over: Some(call) }
+    }
+}
+
 /// A call that stands, or an attempt that is open.
 struct Standing {
     proxy: usize,
@@ -191,7 +207,7 @@
     instance: u32,
     life: u32,
     number: u64,
-    draw: Draw,
+    draw: RefCell<Draw>,
 }
 
 impl Served {
@@ -199,7 +215,7 @@
         let here = &world.servers[server];
         let (instance, life) = (here.instance.get(), here.life.get());
         let number = world.number();
-        let draw = world.draw(number);
+        let draw = RefCell::new(world.draw(number));
         Served { world, proxy, server, instance, life, number, draw }
     }
 
@@ -211,10 +227,10 @@
         self.here().life.get() == self.life
     }
 
-    async fn run(mut self, stream: Async<TcpStream>) {
+    async fn run(self, stream: Async<TcpStream>) {
         let _ = stream.get_ref().set_nodelay(true);
-        let (writes, to_write) = async_channel::unbounded::<Vec<u8>>();
-        let _ = writes.try_send(wire::from_server(&FromServer::Notify(self.here().report())));
+        let (writes, to_write) = async_channel::unbounded::<Write>();
+        let _ = writes.try_send(Write::message(&FromServer::Notify(self.here().report())));
         self.say_releases_again(&writes);
         let (interrupts, interrupted) = async_channel::bounded(1);
         let connection = Rc::new(Connection { number: self.number, writes, interrupts });
@@ -227,18 +243,17 @@
         self.judge_connections(open);
         let writing = async {
             let mut stream = &stream;
-            while let Ok(bytes) = to_write.recv().await {
+            while let Ok(Write { bytes, over }) = to_write.recv().await {
                 if stream.write_all(&bytes).await.is_err() {
                     break;
                 }
+                if let Some(call) = over {
+                    self.wrote_release(call);
+                }
             }
-            future::pending::<()>().await;
+            future::pending().await
         };
-        let reset = future::or(async { self.read(&stream, &connection, &interrupted).await }, async {
-            writing.await;
-            false
-        })
-        .await;
+        let reset = future::or(self.read(&stream, &connection, &interrupted), writing).await;
         if reset || !self.lives() {
             let _ = SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
         }
@@ -253,16 +268,25 @@
         }
     }
 
-    fn say_releases_again(&self, writes: &Sender<Vec<u8>>) {
+    /// Its proxy has a release to pass on, unless the path is cut.
+    fn wrote_release(&self, call: CallId) {
+        if !self.world.is_cut(self.proxy, self.server) {
+            let two_processes = self.world.proxies[self.proxy].processes.borrow().len() > 1;
+            let now = self.world.now();
+            self.world.oracle.borrow_mut().over(now, self.instance, call, two_processes);
+        }
+    }
+
+    fn say_releases_again(&self, writes: &Sender<Write>) {
         let report = self.here().report();
         for (call, _) in self.here().unheard.borrow().iter().filter(|(_, proxy)| **proxy == self.proxy) {
-            let _ = writes.try_send(wire::from_server(&FromServer::Bye(*call, false, report)));
+            let _ = writes.try_send(Write::release(*call, report));
         }
     }
 
     /// Reads until the other side closes or this server dies; `true` where it resets the connection.
     async fn read(
-        &mut self,
+        &self,
         mut stream: &Async<TcpStream>,
         connection: &Rc<Connection>,
         interrupted: &Receiver<()>,
@@ -309,7 +333,7 @@
     }
 
     /// Takes one message; `true` where the connection is to be reset upon it.
-    fn take(&mut self, message: ToServer, connection: &Rc<Connection>) -> bool {
+    fn take(&self, message: ToServer, connection: &Rc<Connection>) -> bool {
         let now = self.world.now();
         match message {
             ToServer::Invite { call, sequence, description, .. } => {
@@ -327,7 +351,7 @@
             }
             ToServer::Bye(call) => {
                 self.here().calls.borrow_mut().remove(&call);
-                let _ = connection.writes.try_send(wire::from_server(&FromServer::ByeHeard(call)));
+                let _ = connection.writes.try_send(Write::message(&FromServer::ByeHeard(call)));
             }
             ToServer::ByeHeard(call) => drop(self.here().unheard.borrow_mut().remove(&call)),
             ToServer::Other => {}
@@ -337,7 +361,7 @@
 
     /// What becomes of an attempt.
     fn decide(
-        &mut self,
+        &self,
         call: CallId,
         sequence: u32,
         description: Vec<u8>,
@@ -346,11 +370,11 @@
         if self.here().mode.get() == Mode::Hanging {
             return false;
         }
-        let after = self.draw.ms(ANSWER_MS);
+        let after = self.draw.borrow_mut().ms(ANSWER_MS);
         let report = self.here().report();
         let refused = FromServer::Refuses(call, sequence, No::Throttled(200_000), report);
         let failed = FromServer::Refuses(call, sequence, No::Error, report);
-        match self.draw.weighted(&[88.0, 4.0, 2.0, 2.0, 1.0, 1.0, 2.0]) {
+        match self.draw.borrow_mut().weighted(&[88.0, 4.0, 2.0, 2.0, 1.0, 1.0, 2.0]) {
             0 => self.answer_later(after, call, sequence, description, connection, false),
             1 => self.refuse_later(after, call, refused, connection),
             2 => self.refuse_later(after, call, failed, connection),
@@ -359,7 +383,8 @@
             4 => return true,
             // An answer that nobody can read.
             5 => {
-                let _ = connection.writes.try_send(b"SIP/9 nonsense\r\n\r\n".to_vec());
+                let bytes = b"SIP/9 nonsense\r\n\r\n".to_vec();
+                let _ = connection.writes.try_send(Write { bytes, over: None });
                 return true;
             }
             _ => self.answer_later(after, call, sequence, description, connection, true),
@@ -375,7 +400,7 @@
             let here = &world.servers[server];
             let open = here.life.get() == life
                 && here.calls.borrow().get(&call).is_some_and(|c| c.connection == number && !c.stands);
-            if open && connection.writes.try_send(wire::from_server(&message)).is_ok() {
+            if open && connection.writes.try_send(Write::message(&message)).is_ok() {
                 here.calls.borrow_mut().remove(&call);
                 world.oracle.borrow_mut().attempt_ended(world.now(), instance, call, false);
             }
@@ -384,7 +409,7 @@
     }
 
     fn answer_later(
-        &mut self,
+        &self,
         after: Time,
         call: CallId,
         sequence: u32,
@@ -394,7 +419,7 @@
     ) {
         let (world, server, life, number) = (self.world.clone(), self.server, self.life, self.number);
         let (instance, connection, proxy) = (self.instance, connection.clone(), self.proxy);
-        let hold = self.draw.ms(HOLD_MS);
+        let hold = self.draw.borrow_mut().ms(HOLD_MS);
         let task = async move {
             world.pause(after).await;
             let here = &world.servers[server];
@@ -406,8 +431,8 @@
             let mut made = format!("made by {instance} for ").into_bytes();
             made.extend(&description);
             let text = String::from_utf8_lossy(&made).into_owned();
-            let answer = wire::from_server(&FromServer::Stands(call, sequence, text, here.report()));
-            if connection.writes.try_send(answer.clone()).is_err() {
+            let answer = FromServer::Stands(call, sequence, text, here.report());
+            if connection.writes.try_send(Write::message(&answer)).is_err() {
                 return;
             }
             if let Some(standing) = here.calls.borrow_mut().get_mut(&call) {
@@ -416,7 +441,7 @@
             world.oracle.borrow_mut().made(world.now(), instance, call, made);
             if twice {
                 world.pause(3_000).await;
-                let _ = connection.writes.try_send(answer);
+                let _ = connection.writes.try_send(Write::message(&answer));
             }
             world.pause(hold).await;
             release(&world, server, life, proxy, call);
@@ -461,10 +486,5 @@
     here.unheard.borrow_mut().insert(call, proxy);
     let report = here.report();
     let Some(connection) = here.connection_of(standing.proxy, standing.connection) else { return };
-    let written =
-        connection.writes.try_send(wire::from_server(&FromServer::Bye(call, false, report))).is_ok();
-    if written && !world.is_cut(proxy, server) {
-        let two_processes = world.proxies[proxy].processes.borrow().len() > 1;
-        world.oracle.borrow_mut().over(world.now(), here.instance.get(), call, two_processes);
-    }
+    let _ = connection.writes.try_send(Write::release(call, report));
 }
