--- a/rig/src/soak/server.rs
+++ b/rig/src/soak/server.rs
@@ -360,13 +360,7 @@
     }
 
     /// What becomes of an attempt.
-    fn decide(
-        &self,
-        call: CallId,
-        sequence: u32,
-        description: Vec<u8>,
-        connection: &Rc<Connection>,
-    ) -> bool {
+    fn decide(&self, call: CallId, sequence: u32, description: Vec<u8>, connection: &Rc<Connection>) -> bool {
         if self.here().mode.get() == Mode::Hanging {
             return false;
         }
@@ -374,7 +368,8 @@
         let report = self.here().report();
         let refused = FromServer::Refuses(call, sequence, No::Throttled(200_000), report);
         let failed = FromServer::Refuses(call, sequence, No::Error, report);
-        match self.draw.borrow_mut().weighted(&[88.0, 4.0, 2.0, 2.0, 1.0, 1.0, 2.0]) {
+        let outcome = self.draw.borrow_mut().weighted(&[88.0, 4.0, 2.0, 2.0, 1.0, 1.0, 2.0]);
+        match outcome {
             0 => self.answer_later(after, call, sequence, description, connection, false),
             1 => self.refuse_later(after, call, refused, connection),
             2 => self.refuse_later(after, call, failed, connection),
