Name the link's state machine in the field's words: events, commands, time-outs

Told is LinkEvent and Do is LinkCommand; told, look, due, todo and order are handle_event, handle_timeout, next_timeout, poll_commands and handle_order.

--- a/proxy/src/sip/link.rs
+++ b/proxy/src/sip/link.rs
@@ -5,7 +5,7 @@
 use crate::hub::{self, Backend};
 use crate::limits::Limits;
 use crate::net::{messages, unix_now, within, write_all};
-use crate::sip::state::{Do, Link, Shared, Told};
+use crate::sip::state::{Link, LinkCommand, LinkEvent, Shared};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -54,42 +54,45 @@
     addr: SocketAddr,
     server: ServerId,
     core: Sender<hub::Message>,
-    tell: Sender<(u64, Told)>,
+    tell: Sender<(u64, LinkEvent)>,
     /// What is queued for each connection; one that is dropped here closes.
     conns: BTreeMap<u64, Sender<Vec<u8>>>,
 }
 
 enum Next {
     Order(Order),
-    Told(u64, Told),
+    LinkEvent(u64, LinkEvent),
     Connect,
     End,
 }
 
 impl Host {
     /// Serves until the core drops its sender: the server is gone, or has moved.
-    async fn run(mut self, orders: Receiver<Order>, told: Receiver<(u64, Told)>) {
+    async fn run(mut self, orders: Receiver<Order>, told: Receiver<(u64, LinkEvent)>) {
         loop {
-            let wait = self.link.due().map(|at| at.saturating_sub(unix_now()));
+            let wait = self.link.next_timeout().map(|at| at.saturating_sub(unix_now()));
             let next = future::or(
                 async { orders.recv().await.map_or(Next::End, Next::Order) },
-                future::or(async { told.recv().await.map_or(Next::End, |(c, t)| Next::Told(c, t)) }, async {
-                    match wait {
-                        Some(us) => Timer::after(Duration::from_micros(us)).await,
-                        None => future::pending().await,
-                    };
-                    Next::Connect
-                }),
+                future::or(
+                    async { told.recv().await.map_or(Next::End, |(c, t)| Next::LinkEvent(c, t)) },
+                    async {
+                        match wait {
+                            Some(us) => Timer::after(Duration::from_micros(us)).await,
+                            None => future::pending().await,
+                        };
+                        Next::Connect
+                    },
+                ),
             )
             .await;
             let now = unix_now();
             let inputs = match next {
-                Next::Order(order) => self.link.order(now, order),
+                Next::Order(order) => self.link.handle_order(now, order),
                 // Guards a release that comes as the program ends: a server that is told it was heard says it to nobody
                 // else. What the core has ordered before still goes out.
-                Next::Told(..) if self.core.is_closed() => continue,
-                Next::Told(conn, told) => self.link.told(now, conn, told),
-                Next::Connect => self.link.look(now),
+                Next::LinkEvent(..) if self.core.is_closed() => continue,
+                Next::LinkEvent(conn, told) => self.link.handle_event(now, conn, told),
+                Next::Connect => self.link.handle_timeout(now),
                 Next::End => break,
             };
             self.carry_out(inputs).await;
@@ -100,12 +103,12 @@
 
     /// Does what the link wants, and reports to the core.
     async fn carry_out(&mut self, mut inputs: Vec<Input>) {
-        for todo in self.link.todo() {
+        for todo in self.link.poll_commands() {
             match todo {
-                Do::Connect(conn) => self.connect(conn),
+                LinkCommand::Connect(conn) => self.connect(conn),
                 // Set-ups alone are bounded. What calls them off and what releases calls has to get through, and of
                 // these there are no more than calls; a connection that takes nothing ends by itself.
-                Do::Write(conn, bytes, setup) => {
+                LinkCommand::Write(conn, bytes, setup) => {
                     let takes = |c: &&Sender<_>| setup.is_none() || c.len() < self.limits.link_queue;
                     let conn = self.conns.get(&conn).filter(takes);
                     let taken = conn.is_some_and(|c| c.try_send(bytes).is_ok());
@@ -113,7 +116,7 @@
                         inputs.extend(self.link.unsent(call));
                     }
                 }
-                Do::Close(conn) => {
+                LinkCommand::Close(conn) => {
                     tracing::debug!(server = self.server, connection = conn, "server connection closed");
                     drop(self.conns.remove(&conn));
                 }
@@ -138,25 +141,25 @@
                 Err(e) => {
                     let refused = e.kind() == io::ErrorKind::ConnectionRefused;
                     tracing::info!(server, connection = id, reason = %e, "server connection failed");
-                    let _ = tell.send((id, Told::Failed { refused })).await;
+                    let _ = tell.send((id, LinkEvent::Failed { refused })).await;
                     return;
                 }
             };
             let _ = stream.get_ref().set_nodelay(true);
-            let _ = tell.send((id, Told::Up)).await;
+            let _ = tell.send((id, LinkEvent::Up)).await;
             // Nothing more will come; what is on its way out leaves, until the link drops its end. Guards a release
             // or a give-up that crosses the close of the server's half.
             let ended = Cell::new(false);
             let reading = async {
                 read(&limits, &stream, server, id, &tell).await;
                 ended.set(true);
-                let _ = tell.send((id, Told::Closed)).await;
+                let _ = tell.send((id, LinkEvent::Closed)).await;
                 future::pending().await
             };
             future::or(reading, write_queue(&limits, &stream, to_write)).await;
             drop(stream);
             if !ended.get() {
-                let _ = tell.send((id, Told::Closed)).await;
+                let _ = tell.send((id, LinkEvent::Closed)).await;
             }
         };
         self.executor.spawn(task).detach();
@@ -168,14 +171,14 @@
     stream: &Async<TcpStream>,
     server: ServerId,
     id: u64,
-    tell: &Sender<(u64, Told)>,
+    tell: &Sender<(u64, LinkEvent)>,
 ) {
     let messages = messages(stream, Decoder { most: limits.message }, limits.read, limits.server_rest);
     pin!(messages);
     while let Some(message) = messages.next().await {
         match message {
             Ok(message) => {
-                if tell.send((id, Told::Message(message))).await.is_err() {
+                if tell.send((id, LinkEvent::Message(message))).await.is_err() {
                     return;
                 }
             }
--- a/proxy/src/sip/state.rs
+++ b/proxy/src/sip/state.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// What a connection tells its link. Each ends with one `Failed` or `Closed`, also one that the link closed.
-pub enum Told {
+pub enum LinkEvent {
     Up,
     /// It never came up; refused, or not answered in time.
     Failed {
@@ -25,7 +25,7 @@
 
 /// What the link wants done with its connections.
 #[derive(Debug)]
-pub enum Do {
+pub enum LinkCommand {
     Connect(u64),
     /// With a set-up, its id: where the connection takes no more, [`Link::unsent`] has to hear of it.
     Write(u64, Vec<u8>, Option<CallId>),
@@ -78,7 +78,7 @@
     draw: Box<dyn FnMut() -> f64>,
     /// The time of what is being handled.
     now: Time,
-    todo: Vec<Do>,
+    todo: Vec<LinkCommand>,
     conns: BTreeMap<u64, Conn>,
     next: u64,
     queue: VecDeque<Setup>,
@@ -150,7 +150,7 @@
     }
 
     /// What its host has to do now, in this order, before anything else reaches the link.
-    pub fn todo(&mut self) -> Vec<Do> {
+    pub fn poll_commands(&mut self) -> Vec<LinkCommand> {
         std::mem::take(&mut self.todo)
     }
 
@@ -172,7 +172,7 @@
     }
 
     /// When it wants to be looked after.
-    pub fn due(&self) -> Option<Time> {
+    pub fn next_timeout(&self) -> Option<Time> {
         let held = self.held.front().map(|h| h.0);
         let probe = self.probe.as_ref().map(|p| p.until);
         held.into_iter().chain(probe).chain(self.connect_due()).min()
@@ -195,7 +195,7 @@
     }
 
     /// Does what is due.
-    pub fn look(&mut self, now: Time) -> Vec<Input> {
+    pub fn handle_timeout(&mut self, now: Time) -> Vec<Input> {
         self.now = now;
         let mut inputs = Vec::new();
         while let Some((_, setup)) = self.held.pop_front_if(|h| h.0 <= now) {
@@ -232,7 +232,7 @@
     }
 
     /// Takes an order of the core.
-    pub fn order(&mut self, now: Time, order: Order) -> Vec<Input> {
+    pub fn handle_order(&mut self, now: Time, order: Order) -> Vec<Input> {
         self.now = now;
         match order {
             Order::Start(setup) => self.start(setup),
@@ -459,7 +459,7 @@
         if late || bytes.len() > self.shared.limits.message || !self.conns.contains_key(&conn) {
             return vec![self.ended(setup.id, setup.attempt, End::plain(Outcome::NotSent))];
         }
-        self.todo.push(Do::Write(conn, bytes, Some(setup.id)));
+        self.todo.push(LinkCommand::Write(conn, bytes, Some(setup.id)));
         if let Some(c) = self.conns.get_mut(&conn) {
             c.asked.get_or_insert(self.now);
         }
@@ -474,18 +474,18 @@
     fn connect(&mut self) {
         self.next += 1;
         self.conns.insert(self.next, Conn { up: false, opened: 0, heard: 0, spoken: false, asked: None });
-        self.todo.push(Do::Connect(self.next));
+        self.todo.push(LinkCommand::Connect(self.next));
     }
 
     fn write(&mut self, conn: u64, bytes: Vec<u8>) {
         if self.conns.contains_key(&conn) {
-            self.todo.push(Do::Write(conn, bytes, None));
+            self.todo.push(LinkCommand::Write(conn, bytes, None));
         }
     }
 
     fn close(&mut self, conn: u64) -> Option<Conn> {
         let closed = self.conns.remove(&conn)?;
-        self.todo.push(Do::Close(conn));
+        self.todo.push(LinkCommand::Close(conn));
         self.unacknowledged.retain(|u| u.1 != conn);
         // Guards a call that stands for nobody against a release which met a connection that was closed already,
         // whichever side has closed it.
@@ -512,10 +512,10 @@
     }
 
     /// Takes what a connection tells.
-    pub fn told(&mut self, now: Time, conn: u64, told: Told) -> Vec<Input> {
+    pub fn handle_event(&mut self, now: Time, conn: u64, told: LinkEvent) -> Vec<Input> {
         self.now = now;
         match told {
-            Told::Up => {
+            LinkEvent::Up => {
                 let Some(c) = self.conns.get_mut(&conn) else { return Vec::new() };
                 c.up = true;
                 self.looking = false;
@@ -532,7 +532,7 @@
                 };
                 queue.into_iter().flat_map(|s| self.send(conn, s)).collect()
             }
-            Told::Failed { refused } => {
+            LinkEvent::Failed { refused } => {
                 let mut inputs = self.lose(conn);
                 let looked = std::mem::take(&mut self.looking);
                 if !self.conns.values().any(|c| !c.up) {
@@ -564,8 +564,8 @@
                 }
                 inputs
             }
-            Told::Closed => self.lose(conn),
-            Told::Message(message) => {
+            LinkEvent::Closed => self.lose(conn),
+            LinkEvent::Message(message) => {
                 let mut inputs = Vec::new();
                 if let Some(c) = self.conns.get_mut(&conn) {
                     // A silence worth telling of; after a shorter one nobody has doubts.
--- a/proxy/tests/link.rs
+++ b/proxy/tests/link.rs
@@ -4,7 +4,7 @@
 use fernspan::engine::{End, Input, Order, Setup};
 use fernspan::limits::Limits;
 use fernspan::net::Decode;
-use fernspan::sip::state::{Do, Link, Shared, Told};
+use fernspan::sip::state::{Link, LinkCommand, LinkEvent, Shared};
 use fernspan::sip::{Decoder, Message};
 use fernspan_core::Outcome;
 use std::rc::Rc;
@@ -37,7 +37,7 @@
         let link = Link::new(Rc::new(shared), 3, 100 * S, Box::new(|| 0.5));
         let mut host = Host { link, now: 100 * S, connects: Vec::new(), wrote: String::new() };
         host.pass(S / 10);
-        host.told(Told::Up);
+        host.told(LinkEvent::Up);
         assert!(matches!(host.state(60, 100)[..], [Input::Spoke { fresh: true, .. }, Input::Room(..)]));
         host.order(Order::Start(setup(7)));
         let answer =
@@ -47,24 +47,24 @@
     }
 
     fn done(&mut self) {
-        for todo in self.link.todo() {
+        for todo in self.link.poll_commands() {
             match todo {
-                Do::Connect(conn) => self.connects.push((conn, self.now)),
-                Do::Write(_, bytes, _) => self.wrote.push_str(&String::from_utf8_lossy(&bytes)),
-                Do::Close(_) => {}
+                LinkCommand::Connect(conn) => self.connects.push((conn, self.now)),
+                LinkCommand::Write(_, bytes, _) => self.wrote.push_str(&String::from_utf8_lossy(&bytes)),
+                LinkCommand::Close(_) => {}
             }
         }
     }
 
-    fn told(&mut self, told: Told) -> Vec<Input> {
+    fn told(&mut self, told: LinkEvent) -> Vec<Input> {
         let conn = self.connects.last().expect("a connection").0;
-        let inputs = self.link.told(self.now, conn, told);
+        let inputs = self.link.handle_event(self.now, conn, told);
         self.done();
         inputs
     }
 
     fn hears(&mut self, text: &str) -> Vec<Input> {
-        self.told(Told::Message(decoded(text)))
+        self.told(LinkEvent::Message(decoded(text)))
     }
 
     fn state(&mut self, free: u32, lines: u32) -> Vec<Input> {
@@ -84,7 +84,7 @@
             self.pass(S / 100);
             if self.connects.len() > open {
                 self.now += after;
-                said.extend(self.told(Told::Failed { refused }).into_iter().map(|i| (self.now, i)));
+                said.extend(self.told(LinkEvent::Failed { refused }).into_iter().map(|i| (self.now, i)));
             }
         }
         said
@@ -97,14 +97,14 @@
     /// The same; gives what the core is told.
     fn look(&mut self, span: u64) -> Vec<Input> {
         self.now += span;
-        let due = self.link.due().is_some_and(|at| at <= self.now);
-        let inputs = if due { self.link.look(self.now) } else { Vec::new() };
+        let due = self.link.next_timeout().is_some_and(|at| at <= self.now);
+        let inputs = if due { self.link.handle_timeout(self.now) } else { Vec::new() };
         self.done();
         inputs
     }
 
     fn order(&mut self, order: Order) -> Vec<Input> {
-        let inputs = self.link.order(self.now, order);
+        let inputs = self.link.handle_order(self.now, order);
         self.done();
         inputs
     }
@@ -127,10 +127,10 @@
 fn a_server_that_rests_is_connected_to_seldom() {
     let connects = |rest: bool| {
         let mut host = Host::new();
-        host.link.order(host.now, Order::Release(7, 16));
-        host.link.order(host.now, Order::Rest(rest));
+        host.link.handle_order(host.now, Order::Release(7, 16));
+        host.link.handle_order(host.now, Order::Rest(rest));
         let conn = host.connects.last().expect("one").0;
-        let closed = host.link.told(host.now, conn, Told::Closed);
+        let closed = host.link.handle_event(host.now, conn, LinkEvent::Closed);
         assert!(closed.is_empty());
         let before = host.connects.len();
         host.silent(20 * S);
@@ -157,13 +157,13 @@
 /// What the core is told as a server that was silent for four seconds comes back with so many lines free.
 fn returns(free: u32, lines: u32) -> Vec<Input> {
     let mut host = Host::new();
-    host.link.order(host.now, Order::Rest(true));
+    host.link.handle_order(host.now, Order::Rest(true));
     assert_eq!(died(&host.silent(4 * S)), None);
-    while host.link.due().is_some_and(|at| at > host.now) {
+    while host.link.next_timeout().is_some_and(|at| at > host.now) {
         host.pass(S / 100);
     }
     host.pass(S / 100);
-    host.told(Told::Up);
+    host.told(LinkEvent::Up);
     host.state(free, lines)
 }
 
@@ -195,17 +195,17 @@
 #[test]
 fn a_site_that_speaks_again_is_looked_at_soon() {
     let mut host = Host::new();
-    host.link.order(host.now, Order::Rest(true));
+    host.link.handle_order(host.now, Order::Rest(true));
     host.silent(4 * S);
     let before = host.connects.len();
-    host.link.order(host.now, Order::Rest(false));
+    host.link.handle_order(host.now, Order::Rest(false));
     for _ in 0..31 {
         host.pass(S / 100);
     }
     assert_eq!(host.connects.len(), before + 1);
     let mut speaks = Host::new();
-    speaks.link.order(speaks.now, Order::Rest(true));
-    speaks.link.order(speaks.now, Order::Rest(false));
+    speaks.link.handle_order(speaks.now, Order::Rest(true));
+    speaks.link.handle_order(speaks.now, Order::Rest(false));
     let before = speaks.connects.len();
     for _ in 0..31 {
         speaks.pass(S / 100);
@@ -232,7 +232,7 @@
     let first = host.connects[0].0;
     for free in 60..66 {
         assert_eq!(died(&host.fails(4 * S, S / 1000, true)), None);
-        host.link.told(host.now, first, Told::Message(decoded(&notify(free, 100))));
+        host.link.handle_event(host.now, first, LinkEvent::Message(decoded(&notify(free, 100))));
         host.done();
     }
 }
@@ -248,7 +248,7 @@
         said.extend(host.order(Order::Start(setup(id))));
     }
     assert_eq!(host.connects.len(), 2, "the second set-up asks for a connection");
-    said.extend(host.told(Told::Failed { refused: true }));
+    said.extend(host.told(LinkEvent::Failed { refused: true }));
     assert!(said.is_empty(), "{said:?}");
 }
 
@@ -284,14 +284,14 @@
         host.hears(&refusal(call));
         host.order(Order::Start(again(call, 1)));
         host.wrote.clear();
-        let said = host.link.order(host.now, order);
+        let said = host.link.handle_order(host.now, order);
         assert_eq!(said.len(), usize::from(call == 9));
         host.pass(S / 5);
         assert!(host.wrote.is_empty(), "{}", host.wrote);
     }
     host.order(Order::Start(setup(10)));
     host.hears(&refusal(10));
-    host.link.order(host.now, Order::Start(again(10, 1)));
+    host.link.handle_order(host.now, Order::Start(again(10, 1)));
     let ends = host.link.end();
     assert!(matches!(ends[..], [Input::Ended { id: 10, attempt: 1, .. }]), "{ends:?}");
 }
@@ -317,14 +317,16 @@
     for call in [8, 9] {
         host.order(Order::Start(setup(call)));
     }
-    let ends = host.link.told(host.now, first, Told::Message(decoded(&stood(8, ""))));
+    let ends = host.link.handle_event(host.now, first, LinkEvent::Message(decoded(&stood(8, ""))));
     assert!(matches!(ends[..], [Input::Ended { .. }, Input::Ended { .. }]), "{ends:?}");
     host.done();
-    assert!(host.link.told(host.now, first, Told::Message(decoded(&stood(9, "v=0")))).is_empty());
+    assert!(
+        host.link.handle_event(host.now, first, LinkEvent::Message(decoded(&stood(9, "v=0")))).is_empty()
+    );
     host.done();
     host.wrote.clear();
     host.pass(S);
-    host.told(Told::Up);
+    host.told(LinkEvent::Up);
     for call in [8, 9] {
         assert_eq!(host.wrote.matches(&bye(call)).count(), 1, "{}", host.wrote);
     }
@@ -340,13 +342,13 @@
         host.order(Order::Start(setup(call)));
     }
     host.now += S / 100;
-    host.told(Told::Up);
+    host.told(LinkEvent::Up);
     host.now += S / 100;
-    host.link.told(host.now, first, Told::Message(decoded(&notify(60, 100))));
+    host.link.handle_event(host.now, first, LinkEvent::Message(decoded(&notify(60, 100))));
     host.order(Order::Release(7, 16));
     assert_eq!(host.wrote.matches(&bye(7)).count(), 1, "{}", host.wrote);
     host.wrote.clear();
-    host.link.told(host.now + S / 100, first, Told::Closed);
+    host.link.handle_event(host.now + S / 100, first, LinkEvent::Closed);
     host.done();
     assert_eq!(host.wrote.matches(&bye(7)).count(), 1, "{}", host.wrote);
 }
@@ -355,15 +357,15 @@
 #[test]
 fn a_release_on_a_connection_that_is_retired_goes_out_again() {
     let mut host = Host::new();
-    host.link.order(host.now, Order::Start(setup(8)));
-    host.link.order(host.now, Order::Cancel(8));
+    host.link.handle_order(host.now, Order::Start(setup(8)));
+    host.link.handle_order(host.now, Order::Cancel(8));
     host.now += S;
-    host.link.order(host.now, Order::Release(7, 16));
+    host.link.handle_order(host.now, Order::Release(7, 16));
     host.order(Order::Start(setup(9)));
     assert_eq!(host.connects.len(), 2, "the first has said nothing since the set-up");
     host.wrote.clear();
     host.now += S / 10;
-    host.told(Told::Up);
+    host.told(LinkEvent::Up);
     assert_eq!(host.wrote.matches(&bye(7)).count(), 1, "{}", host.wrote);
 }
 
@@ -371,20 +373,20 @@
 #[test]
 fn a_set_up_that_waited_states_what_is_left() {
     let mut host = Host::new();
-    host.link.order(host.now, Order::Release(7, 16));
+    host.link.handle_order(host.now, Order::Release(7, 16));
     let conn = host.connects[0].0;
-    host.link.told(host.now, conn, Told::Closed);
+    host.link.handle_event(host.now, conn, LinkEvent::Closed);
     let mut said = Vec::new();
     for (call, patience) in [(8, 3 * S), (9, S)] {
         let until = host.now + patience;
-        said.extend(host.link.order(host.now, Order::Start(Setup { until, ..setup(call) })));
+        said.extend(host.link.handle_order(host.now, Order::Start(Setup { until, ..setup(call) })));
     }
     assert!(said.is_empty(), "{said:?}");
     host.done();
     host.wrote.clear();
     host.now += S + S / 2;
     host.pass(0);
-    let said = host.told(Told::Up);
+    let said = host.told(LinkEvent::Up);
     let unsent =
         |i: &Input| matches!(i, Input::Ended { id: 9, end: End { outcome: Outcome::NotSent, .. }, .. });
     assert!(matches!(&said[..], [i] if unsent(i)), "{said:?}");
@@ -448,7 +450,7 @@
     let mut h = Host::new();
     h.order(Order::Probe);
     let id = probe(&h.wrote);
-    h.told(Told::Closed);
+    h.told(LinkEvent::Closed);
     // None is up: a probe alone opens none.
     let open = h.connects.len();
     h.pass(S);
@@ -456,7 +458,7 @@
     let said = h.order(Order::Probe);
     assert!(matches!(said[..], [Input::Probed { passed: false, .. }]), "{said:?}");
     assert_eq!(h.connects.len(), open + 1);
-    h.told(Told::Up);
+    h.told(LinkEvent::Up);
     h.state(60, 100);
     assert!(h.hears(&load(&id, "200 OK", "X-State: util:0.8\r\n")).is_empty());
     // The call of before stands on.
--- a/rig/src/emulate.rs
+++ b/rig/src/emulate.rs
@@ -7,7 +7,7 @@
 use crate::wire;
 use fernspan::engine::{Engine, Input as Core, Order, Output, Reply, Request};
 use fernspan::limits::Limits;
-use fernspan::sip::state::{Do, Link, Shared, Told};
+use fernspan::sip::state::{Link, LinkCommand, LinkEvent, Shared};
 use fernspan_core::{Entry, ListKind, ServerId, State};
 use fernspan_model::draw::Draw;
 use fernspan_model::message::{ListEvent, Listed, ToCaller, ToProxy};
@@ -345,12 +345,12 @@
         turn.todo.extend(out.into_iter().map(Work::Output));
         let mut due: Vec<ServerId> = Vec::new();
         if proxy.links_due.is_some_and(|at| at <= turn.unix) {
-            let is_due = |l: &LinkHost| l.link.due().is_some_and(|at| at <= turn.unix);
+            let is_due = |l: &LinkHost| l.link.next_timeout().is_some_and(|at| at <= turn.unix);
             due.extend(proxy.links.iter().filter(|(_, l)| is_due(l)).map(|(id, _)| *id));
         }
         for id in due {
             if let Some(host) = proxy.links.get_mut(&id) {
-                let inputs = host.link.look(turn.unix);
+                let inputs = host.link.handle_timeout(turn.unix);
                 turn.link(id, host, inputs, &mut self.world);
             }
         }
@@ -379,7 +379,7 @@
         }
         // Until the next thing that is due; a wake that is set for earlier stays, and finds nothing.
         if turn.touched {
-            proxy.links_due = proxy.links.values().filter_map(|l| l.link.due()).min();
+            proxy.links_due = proxy.links.values().filter_map(|l| l.link.next_timeout()).min();
         }
         let next = proxy.engine.due().into_iter().chain(proxy.links_due).min();
         let next = next.map(|at| at.saturating_sub(EPOCH + proxy.step).max(self.now + 1));
@@ -422,7 +422,7 @@
         let Some(host) = proxy.links.get_mut(&id) else { return };
         let told = match (came, host.conns.contains_key(&conn)) {
             // Closed by the link before it was up.
-            (_, false) => Told::Closed,
+            (_, false) => LinkEvent::Closed,
             (Came::Up, true) => match self.world.mode(p, host.place) {
                 Mode::Open => {
                     let accepted = self.world.accept(turn.now, p, host.place);
@@ -430,25 +430,25 @@
                     match accepted {
                         Some(accepted) => turn.up = Some((accepted, id, conn)),
                         None => {
-                            let inputs = host.link.told(turn.unix, conn, Told::Up);
+                            let inputs = host.link.handle_event(turn.unix, conn, LinkEvent::Up);
                             turn.link(id, host, inputs, &mut self.world);
                             host.conns.remove(&conn);
-                            let inputs = host.link.told(turn.unix, conn, Told::Closed);
+                            let inputs = host.link.handle_event(turn.unix, conn, LinkEvent::Closed);
                             turn.link(id, host, inputs, &mut self.world);
                             return;
                         }
                     }
-                    Told::Up
+                    LinkEvent::Up
                 }
-                _ => Told::Failed { refused: true },
+                _ => LinkEvent::Failed { refused: true },
             },
-            (Came::Refused, true) => Told::Failed { refused: true },
-            (Came::TimedOut, true) => Told::Failed { refused: false },
+            (Came::Refused, true) => LinkEvent::Failed { refused: true },
+            (Came::TimedOut, true) => LinkEvent::Failed { refused: false },
         };
-        if matches!(told, Told::Failed { .. }) {
+        if matches!(told, LinkEvent::Failed { .. }) {
             host.conns.remove(&conn);
         }
-        let inputs = host.link.told(turn.unix, conn, told);
+        let inputs = host.link.handle_event(turn.unix, conn, told);
         turn.link(id, host, inputs, &mut self.world);
     }
 }
@@ -476,18 +476,18 @@
         self.touched = true;
         self.todo.extend(inputs.into_iter().map(Work::Input));
         loop {
-            let todo = host.link.todo();
+            let todo = host.link.poll_commands();
             if todo.is_empty() {
                 return;
             }
             let mut closed = Vec::new();
             for what in todo {
                 match what {
-                    Do::Connect(conn) => {
+                    LinkCommand::Connect(conn) => {
                         host.conns.insert(conn, None);
                         self.connects.push((id, conn, host.place));
                     }
-                    Do::Write(conn, bytes, _) => {
+                    LinkCommand::Write(conn, bytes, _) => {
                         let Some(Some(at)) = host.conns.get(&conn).copied() else { continue };
                         let input = match wire::to_server(&bytes) {
                             Ok(Some((message, _))) => Input::ToServer(at, message),
@@ -499,7 +499,7 @@
                         };
                         world.handle(self.now, input);
                     }
-                    Do::Close(conn) => {
+                    LinkCommand::Close(conn) => {
                         if let Some(Some(at)) = host.conns.remove(&conn) {
                             world.handle(self.now, Input::ServerDown(at));
                             self.gone.push(at);
@@ -509,7 +509,7 @@
                 }
             }
             for conn in closed {
-                let inputs = host.link.told(self.unix, conn, Told::Closed);
+                let inputs = host.link.handle_event(self.unix, conn, LinkEvent::Closed);
                 self.todo.extend(inputs.into_iter().map(Work::Input));
             }
         }
@@ -552,14 +552,14 @@
             Message::Server(id, conn, bytes) => {
                 let Some(host) = self.links.get_mut(&id) else { return };
                 if let Some(read) = wire::as_read(&bytes) {
-                    let inputs = host.link.told(turn.unix, conn, Told::Message(read));
+                    let inputs = host.link.handle_event(turn.unix, conn, LinkEvent::Message(read));
                     turn.link(id, host, inputs, world);
                 }
             }
             Message::ServerClosed(id, conn) => {
                 let Some(host) = self.links.get_mut(&id) else { return };
                 host.conns.remove(&conn);
-                let inputs = host.link.told(turn.unix, conn, Told::Closed);
+                let inputs = host.link.handle_event(turn.unix, conn, LinkEvent::Closed);
                 turn.link(id, host, inputs, world);
             }
             Message::List(event) => {
@@ -628,7 +628,7 @@
             }
             Output::Order(server, order) => match self.links.get_mut(&server) {
                 Some(host) => {
-                    let inputs = host.link.order(turn.unix, order);
+                    let inputs = host.link.handle_order(turn.unix, order);
                     turn.link(server, host, inputs, world);
                 }
                 None => {
