--- a/proxy/src/dns/front.rs
+++ b/proxy/src/dns/front.rs
@@ -7,7 +7,7 @@
 use crate::engine::{Input, Reply, Request, Source};
 use crate::hub::Message;
 use crate::limits::Limits;
-use crate::net::{Next, Seat, accept_all, messages_noting, unix_now, write_all};
+use crate::net::{ConnectionSlot, Next, accept_all, messages_noting, unix_now, write_all};
 use crate::shutdown::ShutdownSignal;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -138,7 +138,7 @@
     }
 
     /// Serves one connection, until the asker ends it or says nothing for too long.
-    async fn connection(&self, stream: Async<TcpStream>, source: Source, seat: &Seat) {
+    async fn connection(&self, stream: Async<TcpStream>, source: Source, slot: &ConnectionSlot) {
         let (replies, to_send) = async_channel::unbounded();
         if self.core.send(Message::Open(source, replies)).await.is_err() {
             return;
@@ -148,9 +148,9 @@
         let reading = async {
             let decoder = Decoder { most: self.limits.message };
             let (read, rest) = (self.limits.read, self.limits.rest);
-            let queries = messages_noting(&stream, decoder, read, rest, seat.unfinished());
+            let queries = messages_noting(&stream, decoder, read, rest, slot.unfinished());
             pin!(queries);
-            while let Next::Message(bytes) = seat.next(&mut queries, &self.limits).await {
+            while let Next::Message(bytes) = slot.next(&mut queries, &self.limits).await {
                 match self.read(&bytes, source) {
                     // Guards the core's table against one asker's flood.
                     Ok((_, query)) if waiting.borrow().calls.len() >= self.limits.open_per_caller => {
@@ -161,7 +161,7 @@
                         }
                     }
                     Ok((request, query)) => {
-                        seat.used(true);
+                        slot.used(true);
                         waiting.borrow_mut().add(request.id, (), query);
                         if !self.input(Input::Call(request)).await {
                             return;
@@ -176,7 +176,7 @@
                 }
             }
         };
-        future::or(reading, self.write(&stream, &waiting, to_send, own_to_send, seat)).await;
+        future::or(reading, self.write(&stream, &waiting, to_send, own_to_send, slot)).await;
         self.input(Input::SourceGone(source)).await;
     }
 
@@ -186,7 +186,7 @@
         waiting: &RefCell<Waiting<()>>,
         replies: Receiver<(CallId, Reply)>,
         own: Receiver<Vec<u8>>,
-        seat: &Seat,
+        slot: &ConnectionSlot,
     ) {
         loop {
             let reply = async {
@@ -200,8 +200,8 @@
             if write_all(stream, &bytes, self.limits.write).await.is_err() {
                 return;
             }
-            seat.prove();
-            seat.used(!waiting.borrow().calls.is_empty());
+            slot.mark_served();
+            slot.used(!waiting.borrow().calls.is_empty());
         }
     }
 
@@ -213,9 +213,9 @@
         shutdown: ShutdownSignal,
     ) {
         let limits = self.limits.clone();
-        accept_all(listener, limits.askers, limits, executor, shutdown, move |stream, source, seat| {
+        accept_all(listener, limits.askers, limits, executor, shutdown, move |stream, source, slot| {
             let front = self.clone();
-            async move { front.connection(stream, DATAGRAMS + source, &seat).await }
+            async move { front.connection(stream, DATAGRAMS + source, &slot).await }
         })
         .await;
     }
--- a/proxy/src/isup/front.rs
+++ b/proxy/src/isup/front.rs
@@ -5,7 +5,7 @@
 use crate::hub;
 use crate::invariant::{Invariant, Violations};
 use crate::limits::Limits;
-use crate::net::{Next, Seat, accept_all, messages_noting, unix_now, within};
+use crate::net::{ConnectionSlot, Next, accept_all, messages_noting, unix_now, within};
 use crate::readiness::Readiness;
 use crate::reasons::Hex;
 use crate::shutdown::ShutdownSignal;
@@ -139,7 +139,7 @@
     }
 
     /// One connection, until either side ends it. Bytes that are no message end it too.
-    async fn serve(&self, stream: Async<TcpStream>, source: Source, seat: &Seat) {
+    async fn serve(&self, stream: Async<TcpStream>, source: Source, slot: &ConnectionSlot) {
         let _ = stream.get_ref().set_nodelay(true);
         let (replies, to_write) = async_channel::unbounded();
         // The core alone holds the sender: when it drops it, the connection ends.
@@ -149,10 +149,10 @@
         let (own, own_to_write) = async_channel::bounded(self.limits.own_queue);
         let (flushed, flushes) = async_channel::bounded(1);
         let table = RefCell::new(Table::default());
-        let hand = Hand::default();
+        let pending = PendingReplies::default();
         let end = {
             let writing = async {
-                self.write(&stream, &to_write, &own_to_write, &hand, &table, seat, &flushed).await;
+                self.write(&stream, &to_write, &own_to_write, &pending, &table, slot, &flushed).await;
                 flushed.close();
                 future::pending().await
             };
@@ -161,12 +161,12 @@
                 End::Gone
             };
             pin!(writing);
-            let reading = self.read(&stream, source, &table, &own, seat);
+            let reading = self.read(&stream, source, &table, &own, slot);
             let end = future::or(reading, future::or(broken, &mut writing)).await;
             tracing::debug!(connection = source, reason = ?end, "caller's connection ends");
             let ending = async {
-                if end == End::Spoilt {
-                    self.answer_the_rest(&stream, &table, &to_write, &own, &flushes, &hand).await;
+                if end == End::ProtocolError {
+                    self.answer_open_calls(&stream, &table, &to_write, &own, &flushes, &pending).await;
                 }
                 // As the program ends, what is owed is on its way: the core's deadline for all has come.
                 let answered =
@@ -193,7 +193,7 @@
         let stream = Some(stream).filter(|_| !nothing_open);
         // Guards against a release that crosses the end of its connection: it goes on another one. So does one
         // that was written a moment ago and not heard, since it may have met a socket that was closed already.
-        let mut left = hand.left();
+        let mut left = pending.left();
         left.extend(
             table.into_inner().unheard(self.limits.heard).map(|(call, cause)| (call, Reply::Over(cause))),
         );
@@ -218,26 +218,26 @@
 
     /// Guards what else is open on a connection against bytes that concern it not: it gets its answer, or fails in
     /// the end.
-    async fn answer_the_rest(
+    async fn answer_open_calls(
         &self,
         stream: &Async<TcpStream>,
         table: &RefCell<Table>,
         to_write: &Receiver<(CallId, Reply)>,
         own: &Sender<Message>,
         flushes: &Receiver<()>,
-        hand: &Hand,
+        pending: &PendingReplies,
     ) {
         let answered = async {
             while !table.borrow().open.is_empty() && flushes.recv().await.is_ok() {}
-            End::Spoilt
+            End::ProtocolError
         };
         let end = within(self.limits.spoilt, future::or(answered, discard(stream))).await;
         // Guards the one answer: what is being written stays, and what comes later is not passed on.
         to_write.close();
         let mut open = std::mem::take(&mut table.borrow_mut().open);
-        let in_hand: BTreeSet<CallId> = hand.replies.borrow().iter().map(|r| r.1).collect();
-        open.retain(|call| !in_hand.contains(call));
-        hand.keep_back(std::iter::from_fn(|| to_write.try_recv().ok()));
+        let being_written: BTreeSet<CallId> = pending.replies.borrow().iter().map(|r| r.1).collect();
+        open.retain(|call| !being_written.contains(call));
+        pending.keep_back(std::iter::from_fn(|| to_write.try_recv().ok()));
         for call in open.into_iter().filter(|_| end != Some(End::Gone)) {
             let failed = Message::new(RELEASE, call).with(CAUSE, &[CAUSE_FAILED]);
             let _ = own.send(failed).await;
@@ -247,21 +247,21 @@
     /// Takes what comes, until there is a reason to end the connection.
     ///
     /// What has come by now is looked at together. Guards the servers against set-ups that nobody waits for any
-    /// more: while this program stood still, or had no seat, their caller may have left.
+    /// more: while this program stood still, or had no slot, their caller may have left.
     async fn read(
         &self,
         stream: &Async<TcpStream>,
         source: Source,
         table: &RefCell<Table>,
         own: &Sender<Message>,
-        seat: &Seat,
+        slot: &ConnectionSlot,
     ) -> End {
         let decoder = Decoder { most: self.limits.message };
         let (read, rest) = (self.limits.read, self.limits.rest);
-        let messages = messages_noting(stream, decoder, read, rest, seat.unfinished());
+        let messages = messages_noting(stream, decoder, read, rest, slot.unfinished());
         pin!(messages);
         loop {
-            let mut next = seat.next(&mut messages, &self.limits).await;
+            let mut next = slot.next(&mut messages, &self.limits).await;
             let (mut batch, mut held) = (Vec::new(), 0);
             let mut end = loop {
                 match next {
@@ -273,14 +273,18 @@
                     Next::Leave => break Some(End::Ours),
                     Next::Failed(e) => {
                         tracing::info!(connection = source, reason = %e, "caller's bytes cannot be read");
-                        break Some(if matches!(e, WireError::Io(_)) { End::Gone } else { End::Spoilt });
+                        break Some(if matches!(e, WireError::Io(_)) {
+                            End::Gone
+                        } else {
+                            End::ProtocolError
+                        });
                     }
                 }
                 if held >= self.limits.message {
                     break None;
                 }
-                seat.used(true);
-                match future::poll_once(seat.next(&mut messages, &self.limits)).await {
+                slot.used(true);
+                match future::poll_once(slot.next(&mut messages, &self.limits)).await {
                     Some(more) => next = more,
                     None => break None,
                 }
@@ -294,7 +298,7 @@
                     Read::Nothing => true,
                     Read::Twice => {
                         tracing::info!(connection = source, call = %Hex(message.call), "two set-ups under one id");
-                        end.get_or_insert(End::Spoilt);
+                        end.get_or_insert(End::ProtocolError);
                         let left = Input::Left(message.call, source);
                         self.core.send(hub::Message::Input(left)).await.is_ok()
                     }
@@ -307,7 +311,7 @@
             if let Some(end) = end {
                 return end;
             }
-            seat.used(!table.borrow().open.is_empty());
+            slot.used(!table.borrow().open.is_empty());
             // One caller's flood must not keep the others from their turn.
             future::yield_now().await;
         }
@@ -359,7 +363,7 @@
         }
     }
 
-    /// Writes replies, which are kept in `hand` until they are out, and says each time that they are. Ends when
+    /// Writes replies, which are kept in `pending` until they are out, and says each time that they are. Ends when
     /// both queues are closed and empty, or the caller takes nothing more.
     #[allow(clippy::too_many_arguments)]
     async fn write(
@@ -367,9 +371,9 @@
         stream: &Async<TcpStream>,
         replies: &Receiver<(CallId, Reply)>,
         own: &Receiver<Message>,
-        hand: &Hand,
+        pending: &PendingReplies,
         table: &RefCell<Table>,
-        seat: &Seat,
+        slot: &ConnectionSlot,
         flushed: &Sender<()>,
     ) {
         loop {
@@ -389,23 +393,23 @@
                     continue;
                 }
                 bytes.extend(self.encode(call, &reply).unwrap_or_default());
-                hand.replies.borrow_mut().push((bytes.len(), call, reply));
+                pending.replies.borrow_mut().push((bytes.len(), call, reply));
             }
-            if bytes.is_empty() && hand.replies.borrow().is_empty() {
+            if bytes.is_empty() && pending.replies.borrow().is_empty() {
                 match ended {
                     true => return,
                     false => continue,
                 }
             }
-            hand.written.set(0);
-            let written = within(self.limits.write, hand.write(stream, &bytes)).await;
+            pending.written.set(0);
+            let written = within(self.limits.write, pending.write(stream, &bytes)).await;
             if written.is_none_or(|w| w.is_err()) {
                 return;
             }
             let mut table = table.borrow_mut();
-            for (_, call, reply) in hand.replies.borrow_mut().drain(..) {
+            for (_, call, reply) in pending.replies.borrow_mut().drain(..) {
                 match reply {
-                    Reply::Stands(_) => seat.prove(),
+                    Reply::Stands(_) => slot.mark_served(),
                     Reply::Refused(_) | Reply::Failed => {}
                     Reply::Over(cause) => {
                         table.wrote_release(call, cause, self.limits.heard);
@@ -415,7 +419,7 @@
                 }
                 table.open.remove(&call);
             }
-            seat.used(!table.open.is_empty());
+            slot.used(!table.open.is_empty());
             let _ = flushed.try_send(());
         }
     }
@@ -429,12 +433,12 @@
     /// Closed by this side, since nothing is open on it or the program ends. What is on its way to the caller leaves.
     Ours,
     /// Nobody can read what comes on it.
-    Spoilt,
+    ProtocolError,
 }
 
 /// Replies on their way to the socket, with where each of them ends in what is being written.
 #[derive(Default)]
-struct Hand {
+struct PendingReplies {
     replies: RefCell<Vec<(usize, CallId, Reply)>>,
     /// How much of it the socket has taken.
     written: Cell<usize>,
@@ -442,7 +446,7 @@
     kept: RefCell<Vec<(CallId, Reply)>>,
 }
 
-impl Hand {
+impl PendingReplies {
     async fn write(&self, mut stream: &Async<TcpStream>, bytes: &[u8]) -> std::io::Result<()> {
         while let Some(left) = bytes.get(self.written.get()..).filter(|left| !left.is_empty()) {
             match stream.write(left).await? {
@@ -548,9 +552,9 @@
     shutdown: ShutdownSignal,
 ) {
     let limits = front.limits.clone();
-    accept_all(listener, limits.caller_conns, limits, executor, shutdown, move |stream, source, seat| {
+    accept_all(listener, limits.caller_conns, limits, executor, shutdown, move |stream, source, slot| {
         let front = front.clone();
-        async move { front.serve(stream, source, &seat).await }
+        async move { front.serve(stream, source, &slot).await }
     })
     .await;
 }
@@ -667,7 +671,7 @@
     }
 
     /// A give-up is read while the answer waits in the connection's queue. Guards a caller against an answer after its
-    /// give-up, which the program had in hand; other answers go out, and the core hears that the caller left.
+    /// give-up, which the program already held; other answers go out, and the core hears that the caller left.
     #[test]
     fn no_answer_goes_out_after_a_give_up_was_read() {
         let mut scene = Scene::new();
--- a/proxy/src/management.rs
+++ b/proxy/src/management.rs
@@ -1,10 +1,10 @@
 //! The management line: operators connect, write one line, and get one line that starts with `done` or `error`.
 //!
-//! Its connections have seats of their own, which clients cannot take. A process serves whether or not its management
+//! Its connections have slots of their own, which clients cannot take. A process serves whether or not its management
 //! address can be bound: the address may be held by a predecessor for a while.
 
 use crate::limits::Limits;
-use crate::net::{Decode, Next, Seat, WireError, accept_all, messages, write_all};
+use crate::net::{ConnectionSlot, Decode, Next, WireError, accept_all, messages, write_all};
 use crate::readiness::Readiness;
 use crate::shutdown::ShutdownSignal;
 use async_executor::LocalExecutor;
@@ -57,12 +57,12 @@
     pub async fn listen(self: Rc<Self>, address: SocketAddr, executor: Rc<LocalExecutor<'static>>) {
         let listener = self.bind(address).await;
         let limits = self.limits.clone();
-        let seats = limits.management_connections;
+        let slots = limits.management_connections;
         // Operators are answered until the process is gone.
         let shutdown = ShutdownSignal::default();
-        accept_all(listener, seats, limits, executor, shutdown, move |stream, _, seat| {
+        accept_all(listener, slots, limits, executor, shutdown, move |stream, _, slot| {
             let management = self.clone();
-            async move { management.serve(stream, &seat).await }
+            async move { management.serve(stream, &slot).await }
         })
         .await;
     }
@@ -83,16 +83,16 @@
     }
 
     /// One connection: a line, its answer, and a close.
-    async fn serve(&self, stream: Async<TcpStream>, seat: &Seat) {
+    async fn serve(&self, stream: Async<TcpStream>, slot: &ConnectionSlot) {
         let lines = messages(&stream, Lines, self.limits.read, self.limits.management_line_timeout);
         pin!(lines);
-        let answer = match seat.next(&mut lines, &self.limits).await {
+        let answer = match slot.next(&mut lines, &self.limits).await {
             Next::Message(call) => self.answer(&call),
             Next::Failed(WireError::Io(_)) | Next::End => return,
             Next::Failed(e) => format!("error {e}\n"),
             Next::Leave => "error no call has come\n".to_owned(),
         };
-        seat.used(true);
+        slot.used(true);
         let _ = write_all(&stream, answer.as_bytes(), self.limits.write).await;
     }
 
--- a/proxy/src/net.rs
+++ b/proxy/src/net.rs
@@ -157,12 +157,12 @@
     Failed(WireError),
     /// The other side has closed it, or closed its half.
     End,
-    /// It is time to close it: its seat is wanted, or nothing has come for too long while nothing is owed.
+    /// It is time to close it: its slot is wanted, or nothing has come for too long while nothing is owed.
     Leave,
 }
 
 /// A connection's place among those that its listener holds.
-pub struct Seat {
+pub struct ConnectionSlot {
     /// An answer is owed on it.
     busy: Cell<bool>,
     /// A message has begun on it and is not whole.
@@ -172,19 +172,19 @@
     /// It closes as soon as no message has begun on it: what is owed then is answered, and nothing more is read.
     closing: Cell<bool>,
     /// It has got what it came for once.
-    proven: Cell<bool>,
+    served_once: Cell<bool>,
     active: Cell<Instant>,
     leave: (Sender<()>, Receiver<()>),
 }
 
-impl Seat {
+impl ConnectionSlot {
     fn new() -> Self {
-        Seat {
+        ConnectionSlot {
             busy: Cell::new(false),
             unfinished: Rc::default(),
             leaving: Cell::new(false),
             closing: Cell::new(false),
-            proven: Cell::new(false),
+            served_once: Cell::new(false),
             active: Cell::new(Instant::now()),
             leave: async_channel::bounded(1),
         }
@@ -229,13 +229,13 @@
         let _ = self.leave.0.try_send(());
     }
 
-    pub fn prove(&self) {
-        self.proven.set(true);
+    pub fn mark_served(&self) {
+        self.served_once.set(true);
     }
 
     /// How long it may say nothing while nothing is owed on it. A peer that was never served is given less time.
     fn patience(&self, limits: &Limits) -> Duration {
-        if self.proven.get() { limits.idle } else { limits.first }
+        if self.served_once.get() { limits.idle } else { limits.first }
     }
 
     /// Waits for what comes next.
@@ -257,7 +257,7 @@
                 Next::Leave
             };
             match within(self.patience(limits), future::or(next, leave)).await {
-                // Guards a set-up that has come since the seat was asked for, or that is coming: its answer is owed here.
+                // Guards a set-up that has come since the slot was asked for, or that is coming: its answer is owed here.
                 Some(Next::Leave) if !self.may_leave() => {}
                 Some(next) => return next,
                 // Guards a connection that was served during the wait: what it is given counts as of now.
@@ -272,12 +272,12 @@
 
 /// Asks some connections to leave on which nothing is owed: first those that were never served, and of these
 /// the ones that have been idle longest. One that has just come may be about to speak.
-fn make_room<'a>(seats: impl Iterator<Item = &'a Rc<Seat>>, most: usize, settle: Duration) {
+fn make_room<'a>(slots: impl Iterator<Item = &'a Rc<ConnectionSlot>>, most: usize, settle: Duration) {
     let mut idle: Vec<_> =
-        seats.filter(|s| s.idle() && s.active.get().elapsed() >= settle && s.leave.0.is_empty()).collect();
-    idle.sort_by_key(|s| (s.proven.get(), s.active.get()));
-    for seat in idle.into_iter().take(most) {
-        seat.ask_to_leave();
+        slots.filter(|s| s.idle() && s.active.get().elapsed() >= settle && s.leave.0.is_empty()).collect();
+    idle.sort_by_key(|s| (s.served_once.get(), s.active.get()));
+    for slot in idle.into_iter().take(most) {
+        slot.ask_to_leave();
     }
 }
 
@@ -291,11 +291,11 @@
     shutdown: ShutdownSignal,
     serve: F,
 ) where
-    F: Fn(Async<TcpStream>, u64, Rc<Seat>) -> S,
+    F: Fn(Async<TcpStream>, u64, Rc<ConnectionSlot>) -> S,
     S: Future<Output = ()> + 'static,
 {
     let mut acceptor =
-        Acceptor { seats: Rc::default(), number: 0, freed: async_channel::bounded(1), executor, serve };
+        Acceptor { slots: Rc::default(), number: 0, freed: async_channel::bounded(1), executor, serve };
     let accepting = async {
         loop {
             acceptor.wait_for_room(most, &limits).await;
@@ -324,7 +324,7 @@
 
 /// The connections that a listener holds.
 struct Acceptor<F> {
-    seats: Rc<RefCell<BTreeMap<u64, Rc<Seat>>>>,
+    slots: Rc<RefCell<BTreeMap<u64, Rc<ConnectionSlot>>>>,
     /// Number of the last connection.
     number: u64,
     /// Told when a connection has ended.
@@ -335,13 +335,13 @@
 
 impl<F, S> Acceptor<F>
 where
-    F: Fn(Async<TcpStream>, u64, Rc<Seat>) -> S,
+    F: Fn(Async<TcpStream>, u64, Rc<ConnectionSlot>) -> S,
     S: Future<Output = ()> + 'static,
 {
-    /// Guards the descriptors, and the usual clients against others that fill all seats and say nothing.
+    /// Guards the descriptors, and the usual clients against others that fill all slots and say nothing.
     async fn wait_for_room(&self, most: usize, limits: &Limits) {
-        while self.seats.borrow().len() >= most {
-            make_room(self.seats.borrow().values(), most / 8 + 1, limits.settle);
+        while self.slots.borrow().len() >= most {
+            make_room(self.slots.borrow().values(), most / 8 + 1, limits.settle);
             within(limits.pause, self.freed.1.recv()).await;
         }
     }
@@ -349,13 +349,13 @@
     fn serve(&mut self, stream: Async<TcpStream>) {
         self.number += 1;
         let number = self.number;
-        let seat = Rc::new(Seat::new());
-        self.seats.borrow_mut().insert(number, seat.clone());
-        let served = (self.serve)(stream, number, seat);
-        let (seats, freed) = (self.seats.clone(), self.freed.0.clone());
+        let slot = Rc::new(ConnectionSlot::new());
+        self.slots.borrow_mut().insert(number, slot.clone());
+        let served = (self.serve)(stream, number, slot);
+        let (slots, freed) = (self.slots.clone(), self.freed.0.clone());
         let task = async move {
             served.await;
-            seats.borrow_mut().remove(&number);
+            slots.borrow_mut().remove(&number);
             let _ = freed.try_send(());
         };
         self.executor.spawn(task).detach();
@@ -363,9 +363,9 @@
 
     /// Ends when all connections have.
     async fn close_all(&self, limits: &Limits, shutdown: &ShutdownSignal) {
-        while !self.seats.borrow().is_empty() {
-            for seat in self.seats.borrow().values() {
-                seat.leave(shutdown.closes_now());
+        while !self.slots.borrow().is_empty() {
+            for slot in self.slots.borrow().values() {
+                slot.leave(shutdown.closes_now());
             }
             within(Duration::from_micros(limits.look), self.freed.1.recv()).await;
         }
@@ -377,20 +377,20 @@
     use super::*;
     use futures_lite::pin;
 
-    /// A seat that is asked for in the moment in which a set-up comes on its connection: the answer is owed there.
+    /// A slot that is asked for in the moment in which a set-up comes on its connection: the answer is owed there.
     #[test]
     fn a_connection_on_which_something_is_owed_is_not_left() {
         let limits = Limits::new(256, 64 << 20, 20_000, Duration::from_millis(500), 9_000_000);
         let mut messages = Box::pin(stream::once(Ok(7)).chain(stream::pending()));
         async_io::block_on(async {
-            let seat = Rc::new(Seat::new());
-            make_room([&seat].into_iter(), 1, Duration::ZERO);
-            assert!(matches!(seat.next(&mut messages, &limits).await, Next::Message(7)));
-            seat.used(true);
-            assert!(future::poll_once(seat.next(&mut messages, &limits)).await.is_none());
-            seat.used(false);
-            make_room([&seat].into_iter(), 1, Duration::ZERO);
-            assert!(matches!(seat.next(&mut messages, &limits).await, Next::Leave));
+            let slot = Rc::new(ConnectionSlot::new());
+            make_room([&slot].into_iter(), 1, Duration::ZERO);
+            assert!(matches!(slot.next(&mut messages, &limits).await, Next::Message(7)));
+            slot.used(true);
+            assert!(future::poll_once(slot.next(&mut messages, &limits)).await.is_none());
+            slot.used(false);
+            make_room([&slot].into_iter(), 1, Duration::ZERO);
+            assert!(matches!(slot.next(&mut messages, &limits).await, Next::Leave));
         });
     }
 
@@ -403,12 +403,12 @@
         limits.idle = Duration::from_secs(3_600);
         let mut messages = Box::pin(stream::pending::<Result<(), WireError>>());
         async_io::block_on(async {
-            let seat = Seat::new();
-            let next = seat.next(&mut messages, &limits);
+            let slot = ConnectionSlot::new();
+            let next = slot.next(&mut messages, &limits);
             pin!(next);
             assert!(future::poll_once(&mut next).await.is_none(), "the shorter wait has begun");
-            seat.prove();
-            seat.used(false);
+            slot.mark_served();
+            slot.used(false);
             std::thread::sleep(2 * limits.first);
             assert!(future::poll_once(&mut next).await.is_none(), "it was served");
         });
