--- a/rig/src/soak/oracle.rs
+++ b/rig/src/soak/oracle.rs
@@ -51,6 +51,8 @@
     Crash,
     /// A new process says in time that it takes clients.
     Ready,
+    /// Operators get their answer within a second.
+    Management,
     /// The program's own guard has seen a violation.
     Guard,
     /// What a process writes can be read.
--- a/rig/src/soak/plan.rs
+++ b/rig/src/soak/plan.rs
@@ -120,6 +120,8 @@
     KilledBeforeYes,
     /// It is killed after its yes, before the old one is asked to end.
     KilledAfterYes,
+    /// The old one is killed after the yes, before it is asked to end.
+    OldKilled,
     /// A second one follows at once.
     Twice,
     /// Signals come in series: the configuration again, an end, a second end.
@@ -173,6 +175,7 @@
         Upgrade::Whole,
         Upgrade::KilledBeforeYes,
         Upgrade::KilledAfterYes,
+        Upgrade::OldKilled,
         Upgrade::Twice,
         Upgrade::Signals,
     ];
--- a/rig/src/soak/platform.rs
+++ b/rig/src/soak/platform.rs
@@ -35,6 +35,10 @@
 const NEWS_BINDS: Time = 2_000_000;
 /// What a proxy holds is not counted for this long after two processes (LATER).
 const UNCOUNTED: Time = 5_000_000;
+/// How often a process that takes clients is asked for its readiness.
+const ASK_EVERY: Time = 500_000;
+/// Where the harness was later than this meanwhile, an answer that has not come proves nothing.
+const ANSWER_LATE: Time = 100_000;
 /// How often a process is looked at.
 const LOOK: Time = 10_000;
 
@@ -194,10 +198,11 @@
 }
 
 /// Waits until a process says that it takes clients; `false` where it does not in time, or ends.
-async fn says_yes(world: &World, proxy: usize, process: &Process) -> bool {
+async fn says_yes(world: &Rc<World>, proxy: usize, process: &Rc<Process>) -> bool {
     let begun = world.now();
     while !process.ended.get() && !process.may_end.get() {
         if asks(process.management).await.is_ok_and(|answer| answer.starts_with("done")) {
+            world.spawn(ask_on(world.clone(), proxy, process.clone())).detach();
             return true;
         }
         let late = world.oracle.borrow().lateness_since(begun);
@@ -211,6 +216,24 @@
     false
 }
 
+/// Operators go on asking: each answer is due within a second, under any load, and is yes until the process is asked to end.
+async fn ask_on(world: Rc<World>, proxy: usize, process: Rc<Process>) {
+    loop {
+        world.pause(ASK_EVERY).await;
+        let asked = world.now();
+        let answer = asks(process.management).await;
+        if process.may_end.get() || process.ended.get() {
+            return;
+        }
+        let late = world.oracle.borrow().lateness_since(asked);
+        let answered = answer.as_ref().is_ok_and(|a| a.starts_with("done"));
+        if !answered && late < ANSWER_LATE {
+            let detail = format!("p{proxy} process {}: {answer:?}", process.generation);
+            world.oracle.borrow_mut().breaks(world.now(), Rule::Management, detail);
+        }
+    }
+}
+
 async fn asks(management: SocketAddr) -> io::Result<String> {
     let answer = async {
         let mut line = Async::<TcpStream>::connect(management).await?;
@@ -314,7 +337,9 @@
             }
         };
         world.spawn(series).detach();
-        if how == Upgrade::Twice {
+        if how == Upgrade::OldKilled {
+            kill(&world, proxy, &old).await;
+        } else if how == Upgrade::Twice {
             // The second one starts while the first is being replaced.
             let ends = world.spawn(end_owned(world.clone(), proxy, old));
             if let Some(second) = beside(&world, proxy, Upgrade::Whole).await {
