--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -30,6 +30,32 @@
     pub oddities: Vec<Oddity>,
 }
 
+/// Why a configuration is turned down.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// It is no JSON, or a field is missing or cannot be read: the message names it.
+    #[error("{0}")]
+    Field(String),
+    /// A zone that is no text.
+    #[error("field config: settings.zones holds what is no name")]
+    ZoneWithoutName,
+    /// There is no class that a set-up could name.
+    #[error("field config: settings.profiles is empty")]
+    NoClass,
+    /// A deadline or number of attempts that is not above 0.
+    #[error("field config: {path} cannot be 0")]
+    Zero {
+        /// The field's path.
+        path: &'static str,
+    },
+}
+
+impl From<String> for ConfigError {
+    fn from(message: String) -> Self {
+        ConfigError::Field(message)
+    }
+}
+
 fn address(v: &Value) -> Option<SocketAddr> {
     json::text(v)?.parse().ok()
 }
@@ -48,13 +74,13 @@
 ///
 /// # Errors
 /// The text is no JSON, or a field that has to be there is missing or cannot be read.
-pub fn read(text: &str) -> Result<Config, String> {
+pub fn read(text: &str) -> Result<Config, ConfigError> {
     let v = json::parse(text)?;
     let settings = need(&v, "settings", Some)?;
     let mut oddities = misspelt(settings);
     let zones = json::maybe(settings, "zones", json::array)?.unwrap_or_default();
     let zones: Option<Vec<String>> = zones.iter().map(json::word).collect();
-    let zones = zones.ok_or("field config: settings.zones holds what is no name")?;
+    let zones = zones.ok_or(ConfigError::ZoneWithoutName)?;
     let known = known_events(&v, &zones, &mut oddities)?;
     let dial = need(settings, "limits.dial_timeout", json::span)?;
     let mut config = Config {
@@ -93,7 +119,11 @@
 }
 
 /// The events of the start, each number above the one before.
-fn known_events(v: &Value, zones: &[String], oddities: &mut Vec<Oddity>) -> Result<Vec<ListEvent>, String> {
+fn known_events(
+    v: &Value,
+    zones: &[String],
+    oddities: &mut Vec<Oddity>,
+) -> Result<Vec<ListEvent>, ConfigError> {
     let mut known: Vec<ListEvent> = Vec::new();
     for event in need(v, "known.cmds", json::array)? {
         let event = feed::event(event, zones, oddities)?;
@@ -143,16 +173,16 @@
 }
 
 /// Figures without which nothing can be served as it should: a deadline and a number of attempts above 0, and a class.
-fn turn_down(config: &Config) -> Result<(), String> {
+fn turn_down(config: &Config) -> Result<(), ConfigError> {
     let settings = &config.start.settings;
     if config.classes.is_empty() {
-        return Err("field config: settings.profiles is empty".to_owned());
+        return Err(ConfigError::NoClass);
     }
     if settings.attempt_limit == 0 {
-        return Err("field config: settings.limits.try_limit cannot be 0".to_owned());
+        return Err(ConfigError::Zero { path: "settings.limits.try_limit" });
     }
     if settings.classes.iter().any(|c| c.limit == 0) {
-        return Err("field config: settings.profiles: hard_limit cannot be 0".to_owned());
+        return Err(ConfigError::Zero { path: "settings.profiles: hard_limit" });
     }
     Ok(())
 }
@@ -166,7 +196,7 @@
 const USUAL_FALL_MULTIPLE: f64 = 2.0;
 
 impl Config {
-    fn check_names(&mut self, settings: &Value) -> Result<(), String> {
+    fn check_names(&mut self, settings: &Value) -> Result<(), ConfigError> {
         let lists = [("profiles", &self.classes), ("parties", &self.tenants)];
         for (path, names) in lists {
             if let Some(i) = (1..names.len()).find(|i| names[..*i].contains(&names[*i])) {
--- a/proxy/src/feed.rs
+++ b/proxy/src/feed.rs
@@ -1,5 +1,6 @@
 //! The command channel: numbered events of the list of servers, one JSON object a line.
 
+use crate::config::ConfigError;
 use crate::hub::{ListedServer, Message};
 use crate::limits::Limits;
 use crate::net::{Decode, WireError, drawn, messages, within, write_all};
@@ -29,7 +30,7 @@
 
 /// Reads one event. `zones` gives the zones their numbers. A server that cannot be used is left out: one that this program
 /// does not understand must not keep it from the others.
-pub fn event(v: &Value, zones: &[String], oddities: &mut Vec<Oddity>) -> Result<ListEvent, String> {
+pub fn event(v: &Value, zones: &[String], oddities: &mut Vec<Oddity>) -> Result<ListEvent, ConfigError> {
     let cursor = json::need(v, "cursor", json::whole)?;
     let whole = json::maybe(v, "nodes.full", json::flag)?.unwrap_or(cursor == 1);
     let mut servers = Vec::new();
@@ -38,14 +39,14 @@
             Ok(listed) => servers.push(listed),
             Err(reason) => {
                 let id = json::get(s, "id").and_then(json::word).unwrap_or_default();
-                oddities.push(Oddity::ServerLeftOut { id, reason });
+                oddities.push(Oddity::ServerLeftOut { id, reason: reason.to_string() });
             }
         }
     }
     Ok(ListEvent { cursor, kind: if whole { ListKind::Whole } else { ListKind::Changes }, servers })
 }
 
-fn server(v: &Value, zones: &[String], oddities: &mut Vec<Oddity>) -> Result<ListedServer, String> {
+fn server(v: &Value, zones: &[String], oddities: &mut Vec<Oddity>) -> Result<ListedServer, ConfigError> {
     let id = json::need(v, "id", json::word)?;
     let state = match json::need(v, "state", json::text)? {
         "SERVING" => State::Ready,
@@ -59,7 +60,7 @@
     // What has gone needs no address.
     let addr = json::maybe(v, "addr", json::word)?.unwrap_or_default();
     if state != State::Gone && addr.parse::<SocketAddr>().is_err() {
-        return Err(format!("addr of {id} cannot be {addr:?}"));
+        return Err(ConfigError::Field(format!("addr of {id} cannot be {addr:?}")));
     }
     let zone = json::maybe(v, "zone", json::text)?;
     let started = json::maybe(v, "started_ms", json::span)?.filter(|ms| *ms > 0);
--- a/proxy/src/startup.rs
+++ b/proxy/src/startup.rs
@@ -209,7 +209,7 @@
 fn read_again(reload: Option<&Reload>) {
     let Some(Reload { path, channel_addresses }) = reload else { return };
     let text = std::fs::read_to_string(path).map_err(|e| e.to_string());
-    match text.and_then(|text| config::read(&text)) {
+    match text.and_then(|text| config::read(&text).map_err(|e| e.to_string())) {
         Ok(config) => {
             oddity::log(&config.oddities);
             tracing::info!("{path}: read again, the command channel is at {}", config.channel);
@@ -222,8 +222,8 @@
 /// The platform's protocol: callers in front, setup servers behind, the command channel and the management line beside
 /// them.
 async fn platform(path: String, text: &str, executor: &Executor) -> Result<(Service, Reload), StartError> {
-    let config =
-        config::read(text).map_err(|reason| StartError::Configuration { path: path.clone(), reason })?;
+    let config = config::read(text)
+        .map_err(|e| StartError::Configuration { path: path.clone(), reason: e.to_string() })?;
     oddity::log(&config.oddities);
     let longest = config.start.settings.longest();
     let limits = Limits::new(config.sockets, config.memory, config.open_calls, config.connect, longest);
