--- a/proxy/src/isup/front.rs
+++ b/proxy/src/isup/front.rs
@@ -185,7 +185,7 @@
             end
         };
         to_write.close();
-        if end == End::Ours && !table.borrow().open.is_empty() {
+        if end == End::ClosedHere && !table.borrow().open.is_empty() {
             self.violations.count(Invariant::ClosedWhileOwed, table.borrow().open.first().copied());
         }
         // At once where nothing is open, so that a set-up which crosses the close is the nearer to it.
@@ -270,7 +270,7 @@
                         batch.push(message);
                     }
                     Next::End => break Some(End::Gone),
-                    Next::Leave => break Some(End::Ours),
+                    Next::Leave => break Some(End::ClosedHere),
                     Next::Failed(e) => {
                         tracing::info!(connection = source, reason = %e, "caller's bytes cannot be read");
                         break Some(if matches!(e, WireError::Io(_)) {
@@ -305,7 +305,7 @@
                 };
                 // Guards the answers that still wait here as the core has ended.
                 if !taken {
-                    return End::Ours;
+                    return End::ClosedHere;
                 }
             }
             if let Some(end) = end {
@@ -431,7 +431,7 @@
     /// The caller has left, it broke, or the core has dropped it: nothing goes out on it any more.
     Gone,
     /// Closed by this side, since nothing is open on it or the program ends. What is on its way to the caller leaves.
-    Ours,
+    ClosedHere,
     /// Nobody can read what comes on it.
     ProtocolError,
 }
