--- a/proxy/tests/upgrade/mod.rs
+++ b/proxy/tests/upgrade/mod.rs
@@ -3,6 +3,7 @@
 use crate::play::{PATIENCE, Program, accept, program, program_with_descriptor_4};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 /// A new process says yes within this (LATER, 'Replacing the process').
@@ -49,9 +50,14 @@
     std::process::Command::new("kill").args(["-TERM", &id]).status().expect("kill runs");
 }
 
-/// An address that nobody listens at; another process may take it meanwhile, which fails the test.
+/// An address that nobody else has: other tests use ports of 127.0.0.1 that the system gives, and the rig nets from 16 on.
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+    static COUNT: AtomicU8 = AtomicU8::new(1);
+    const PORT: u16 = 9000;
+    let process = std::process::id();
+    let net = 2 + (process >> 8) % 14;
+    let host = COUNT.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, net as u8, process as u8, host], PORT))
 }
 
 /// The answer to one call on the management line.
