Review, case 2: noise from one server stops the whole process

Cause: empty lines ahead of a message are dropped in a loop that never gives up its turn while more come, so the one thread does nothing else.

Nothing in the program.

--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases, by name.
 
 mod fall;
+mod flood;
 
 use crate::Verdict;
 use crate::proxy::Platform;
@@ -15,6 +16,7 @@
 pub fn play(case: &str, platform: &Platform, record: &Record, trouble: bool) -> Result<Verdict, String> {
     match case {
         "fall" => fall::play(platform, record, trouble),
+        "flood" => flood::play(platform, record, trouble),
         other => Err(format!("there is no case {other}")),
     }
 }
