Review, case 3: large set-ups from bad clients break the memory limit

Cause: open set-ups are bounded by their number, whatever memory the configuration gives, and each keeps up to 16 KiB.

Nothing in the program.

--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod fall;
 mod flood;
+mod memory;
 
 use crate::Verdict;
 use crate::proxy::Platform;
@@ -17,6 +18,7 @@
     match case {
         "fall" => fall::play(platform, record, trouble),
         "flood" => flood::play(platform, record, trouble),
+        "memory" => memory::play(platform, record, trouble),
         other => Err(format!("there is no case {other}")),
     }
 }
