Review, case 4: calls at a vanished server are released too late

Cause: the look at a silent server is put off by 2 s each time that all four connections have set-ups open.

Nothing in the program.

--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod fall;
 mod flood;
 mod memory;
+mod vanish;
 
 use crate::Verdict;
 use crate::proxy::Platform;
@@ -19,6 +20,7 @@
         "fall" => fall::play(platform, record, trouble),
         "flood" => flood::play(platform, record, trouble),
         "memory" => memory::play(platform, record, trouble),
+        "vanish" => vanish::play(platform, record, trouble),
         other => Err(format!("there is no case {other}")),
     }
 }
