Review, case 5: an upgrade loses a release that waits for its caller

Cause: releases that wait for a caller's connection are not handed to the process that takes over, which believes that the caller was told.

Nothing in the program.

--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod fall;
 mod flood;
 mod memory;
+mod upgrade;
 mod vanish;
 
 use crate::Verdict;
@@ -21,6 +22,7 @@
         "flood" => flood::play(platform, record, trouble),
         "memory" => memory::play(platform, record, trouble),
         "vanish" => vanish::play(platform, record, trouble),
+        "upgrade" => upgrade::play(platform, record, trouble),
         other => Err(format!("there is no case {other}")),
     }
 }
