--- a/review/stand/src/proxy.rs
+++ b/review/stand/src/proxy.rs
@@ -110,7 +110,10 @@
         let line =
             deploy.lines().find_map(|l| l.strip_prefix("run = \"")).ok_or("no run in the deploy file")?;
         let run = line.rsplit_once('"').ok_or("run is no text")?.0.to_owned();
-        let folder = std::env::temp_dir().join(format!("fernspan-review-{}", std::process::id()));
+        // The paths of Unix sockets below it have to be short.
+        let base = Some(std::env::temp_dir()).filter(|base| base.as_os_str().len() <= 40);
+        let folder =
+            base.unwrap_or_else(|| "/tmp".into()).join(format!("fernspan-review-{}", std::process::id()));
         fs::create_dir_all(folder.join("tmp")).map_err(|e| e.to_string())?;
         Ok(Platform { root: root.to_owned(), folder, record: record.clone(), run })
     }
