Review, case 4: a drain is never heard while discovery is slow

Cause: a connection to the command channel is given up after 2.2 s of silence from its first moment on, and asked for anew.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,4 +6,4 @@
 	echo "could not run: build first, with the deploy file's build and review/build.sh"
 	exit 2
 }
-exec "$program" vanish "$here/../.." "$here"
+exec "$program" slow "$here/../.." "$here"
--- a/review/stand/src/caller.rs
+++ b/review/stand/src/caller.rs
@@ -157,25 +157,11 @@
         self.send(&set_up(call, cell, 3_000, &description(call)))
     }
 
-    /// The same with another time.
-    pub fn set_up_within(&self, call: u64, cell: usize, ms: u64) -> bool {
-        self.send(&set_up(call, cell, ms, &description(call)))
-    }
-
     /// Bytes at full speed, without a line in the record for each message.
     pub fn send_bytes(&self, bytes: &[u8]) -> bool {
         (&self.stream).write_all(bytes).is_ok()
     }
 
-    /// When a call got its final answer.
-    pub fn answered(&self, call: u64) -> Option<Instant> {
-        let messages = self.inbox.messages.lock().ok()?;
-        messages
-            .iter()
-            .find(|(_, m)| m.call == call && [ANSWER, RELEASE].contains(&m.kind))
-            .map(|(at, _)| *at)
-    }
-
     /// How many final answers and releases have come.
     pub fn count(&self) -> usize {
         self.inbox.messages.lock().map_or(0, |all| all.len())
--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -1,8 +1,8 @@
 //! The cases, by name.
 
 mod fall;
-mod flood;
 mod memory;
+mod slow;
 mod upgrade;
 mod vanish;
 
@@ -19,9 +19,9 @@
 pub fn play(case: &str, platform: &Platform, record: &Record, trouble: bool) -> Result<Verdict, String> {
     match case {
         "fall" => fall::play(platform, record, trouble),
-        "flood" => flood::play(platform, record, trouble),
         "memory" => memory::play(platform, record, trouble),
         "vanish" => vanish::play(platform, record, trouble),
+        "slow" => slow::play(platform, record, trouble),
         "upgrade" => upgrade::play(platform, record, trouble),
         other => Err(format!("there is no case {other}")),
     }
--- a/review/stand/src/server.rs
+++ b/review/stand/src/server.rs
@@ -28,9 +28,8 @@
     releases: Vec<(Instant, u64)>,
     /// Calls whose release is also to go out on the next connection that is opened.
     again: Vec<u64>,
-    /// Answers arrive spoilt from this call's number on, with so many bytes.
-    spoilt_from: u64,
-    spoilt: Option<u64>,
+    /// When set-ups came.
+    set_ups: Vec<Instant>,
 }
 
 /// Handles share one server.
@@ -79,25 +78,9 @@
         self.with(|s| s.holds.insert(call, hold));
     }
 
-    /// The answers to calls from this number on arrive spoilt: so many bytes of empty lines, which keep coming.
-    pub fn spoils(&self, from: u64, bytes: u64) {
-        self.with(|s| (s.spoilt_from, s.spoilt) = (from, Some(bytes)));
-    }
-
-    /// Writes empty lines in place of an answer.
-    fn write_noise(&self, number: u64, call: u64, bytes: u64) {
-        let Some(mut stream) = self.with(|s| s.connections.get(&number).and_then(|c| c.try_clone().ok()))
-        else {
-            return;
-        };
-        self.record
-            .note(&self.name, &format!("answers {call:016x} spoilt on connection {number}: empty lines"));
-        let lines = b"\r\n".repeat(1 << 19);
-        let mut sent = 0;
-        while sent < bytes && stream.write_all(&lines).is_ok() {
-            sent += lines.len() as u64;
-        }
-        self.record.note(&self.name, &format!("{sent} bytes of the spoilt answer have gone"));
+    /// When set-ups came.
+    pub fn set_ups(&self) -> Vec<Instant> {
+        self.with(|s| s.set_ups.clone())
     }
 
     /// When this server has sent the release of a call first.
@@ -217,6 +200,7 @@
             "INVITE" => {
                 note("set-up");
                 let after = self.with(|s| {
+                    s.set_ups.push(Instant::now());
                     s.calls.insert(call, Call { connection: number, stands: false });
                     s.answer_after
                 });
@@ -255,10 +239,6 @@
             Some(s.holds.get(&call).copied().unwrap_or(s.hold))
         });
         let Some(hold) = hold else { return };
-        if let Some(bytes) = self.with(|s| s.spoilt.filter(|_| call >= s.spoilt_from)) {
-            self.write_noise(number, call, bytes);
-            return;
-        }
         let state = format!("X-State: {}\r\n", self.report());
         let made = format!("{call:016x}\r\nc=IN IP4 127.0.0.1\r\nm=audio 32000 RTP/AVP 0 8 101\r\n");
         self.write(number, &invite.response("200 OK", &state, &made));
--- a/review/stand/src/sys.rs
+++ b/review/stand/src/sys.rs
@@ -4,7 +4,7 @@
     fn kill(pid: i32, signal: i32) -> i32;
     fn dup2(old: i32, new: i32) -> i32;
     fn listen(descriptor: i32, backlog: i32) -> i32;
-    fn fcntl(descriptor: i32, command: i32, argument: i32) -> i32;
+    fn fcntl(descriptor: i32, command: i32, ...) -> i32;
 }
 
 pub const SIGTERM: i32 = 15;
