--- a/review/stand/src/cases/fall.rs
+++ b/review/stand/src/cases/fall.rs
@@ -1,4 +1,5 @@
-//! A setup server is replaced on a busy day. While the old one drains, four of six proxies are killed and start again.
+//! A setup server is replaced on a busy day. While the old one drains, seven of ten proxies are killed and start
+//! again.
 
 use super::{ms, sleep_until, text};
 use crate::caller::{ANSWER, Message, RELEASE, description, set_up};
@@ -14,11 +15,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-const PROXIES: usize = 6;
-/// Of seven in ten.
-const KILLED: usize = 4;
+const PROXIES: usize = 10;
+/// Seven in ten.
+const KILLED: usize = 7;
 /// Calls a second that a warm server can do.
-const RATE: f64 = 60.0;
+const RATE: f64 = 40.0;
 /// On the worst days callers offer 110 to 120% of the load.
 const LOAD: f64 = 1.2;
 /// Mean length of a call, in seconds.
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -14,6 +14,10 @@
 use record::Record;
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
+
+/// A case takes no longer.
+const LONGEST: Duration = Duration::from_secs(110);
 
 /// What a case has seen.
 pub enum Verdict {
@@ -39,6 +43,13 @@
         "case",
         &format!("{case}, {}", if trouble { "with the disruption" } else { "without the disruption" }),
     );
+    let late = record.clone();
+    std::thread::spawn(move || {
+        std::thread::sleep(LONGEST);
+        late.note("case", "could not run: it has taken too long");
+        // Its processes end with it.
+        std::process::exit(2);
+    });
     let played = std::panic::catch_unwind(|| {
         let platform = proxy::Platform::new(Path::new(root), &record)?;
         cases::play(case, &platform, &record, trouble)
--- a/review/stand/src/proxy.rs
+++ b/review/stand/src/proxy.rs
@@ -141,6 +141,7 @@
             command.env("PROXY_FD", "4");
             unsafe { command.pre_exec(move || sys::inherit_as(descriptor, 4)) };
         }
+        unsafe { command.pre_exec(sys::end_with_parent) };
         command.stdin(Stdio::null()).stdout(log.try_clone().map_err(|e| e.to_string())?).stderr(log);
         let child = command.spawn().map_err(|e| e.to_string())?;
         self.record.note("platform", &format!("starts process {name}, pid {}", child.id()));
