--- a/review/stand/src/proxy.rs
+++ b/review/stand/src/proxy.rs
@@ -10,6 +10,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 /// A setup server's entry in the list.
@@ -89,10 +90,17 @@
     }
 }
 
-/// A loopback address that is free now.
+/// A loopback address that is free now. Below the ports that systems give to outgoing connections, one of which could take it
+/// before the process that it is for does.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let n = NEXT.fetch_add(1, Ordering::Relaxed).wrapping_add(std::process::id().wrapping_mul(97));
+        let address = SocketAddr::from(([127, 0, 0, 1], 20_000 + (n % 12_000) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// What all processes of a case share.
