Send a cold server a part of what warm ones complete, which adds up for proxies that start anew

Cause: a cold server's share was taken of what a proxy usually sent to the place, or of its own start rate over the servers that are ready, whichever was more. A proxy that has just started knows no usual, and while a server drains its rate over those that are ready is what is offered, over half of the servers: over all proxies more than twice a server's capacity.

Change: src/throughput.rs estimates without bias what warm servers complete for this node; a server cannot complete more than its capacity, so over all nodes that adds up to it, restarted or not. A place's own figure is kept where the node has watched it, and the occupancy scales it up. A node that knows nothing sends one call a second over the number of nodes.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,8 +8,9 @@
 use crate::mean::Mean;
 use crate::probes::Probes;
 use crate::refusal::{self, Claim, Refusal};
-use crate::server_health::{HOPELESS, OPEN_MOST, SMOOTH, STARTS_PER_TURN, Server, TURN, figure};
+use crate::server_health::{HOPELESS, OPEN_MOST, SMOOTH, STARTS_PER_TURN, Server, TURN};
 use crate::sites::{Change, Room, STALL, Sites};
+use crate::throughput::{CapacityPart, Rate, WATCHED, reported_occupancy};
 use crate::window::{CC_PERIOD, MAX_OCCUP, MIN_OCCUP, Window};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -23,8 +24,6 @@
 const TARGET_OF_REPEAT: f64 = 0.75;
 /// A held call that expires within this is given up, and one that was not sent waits half of it, us.
 const MARGIN: Time = 50_000;
-/// Time constant of the node's own start rate, us.
-const RATE_SPAN: f64 = 4_000_000.0;
 /// Occupancy below which a server takes calls that would stand late, ratio: they earn little, and at a
 /// server that is only just loaded they take the room of the fresh calls of other nodes.
 const LATE_BELOW: f64 = 0.3;
@@ -71,11 +70,11 @@
     sticky: BTreeMap<usize, ServerId>,
     refusal: Refusal,
     target: f64,
-    rate: f64,
-    rate_at: Time,
+    /// Its own starts, from the first on.
+    started: Option<Rate>,
+    capacity: CapacityPart,
     /// The set-up delay a call must reckon with if it goes out now: the mean of the latest.
     delay: f64,
-    rate_from: Option<Time>,
     ask_at: Option<Time>,
     turn_at: Time,
     sites: Sites,
@@ -97,10 +96,9 @@
             servers: BTreeMap::new(),
             calls: BTreeMap::new(),
             sticky: BTreeMap::new(),
-            rate: 0.0,
-            rate_at: 0,
+            started: None,
+            capacity: CapacityPart::default(),
             delay: 0.0,
-            rate_from: None,
             ask_at,
             turn_at: 0,
             sites: Sites::default(),
@@ -203,15 +201,21 @@
         self.call_off_lost(actions);
         actions.extend(self.probes.turn(now).into_iter().map(Action::Probe));
         let (rate, lines) = self.rate_and_lines();
+        let working =
+            self.servers.values().filter_map(|s| s.completed(now, s.lines.unwrap_or(lines), &self.settings));
+        self.capacity.learn(working);
         for server in self.servers.values_mut() {
             server.turn_starts = 0;
             server.notice_silence(now);
             server.hand_out_lines(f64::from(self.settings.nodes.max(1)));
             let even = rate * server.lines.map_or(1.0, |own| own / lines);
-            let most = server.most_starts(now, even, self.room.most(), &self.settings);
+            let completes = self.capacity.even(server.lines.unwrap_or(lines));
+            let part = self.capacity.when_full(now, server.place_completes.unwrap_or(completes));
+            let most = server.most_starts(now, (even, part), self.room.most(), &self.settings);
             // All nodes together test a down server once a period, so that few calls do not mean no tests.
             let least = server.down.as_ref().map_or(0.0, |_| 1.0 / f64::from(self.settings.nodes.max(1)));
             server.roll(now, self.target, (least, most), even);
+            server.learn_place(now, completes);
         }
     }
 
@@ -221,8 +225,7 @@
         let ready = || self.servers.values().filter(|s| s.ready);
         let mut lines = Mean::default();
         ready().filter_map(|s| s.lines).for_each(|l| lines.add(l));
-        let seen = self.rate_from.map_or(0.0, |from| (self.now - from) as f64).max(CC_PERIOD as f64);
-        let rate = self.rate * CC_PERIOD as f64 / (1.0 - (-seen / RATE_SPAN).exp());
+        let rate = self.started.as_ref().map_or(0.0, |started| started.at_last_event(self.now));
         (rate / ready().count().max(1) as f64, lines.get().unwrap_or(1.0).max(1.0))
     }
 
@@ -288,6 +291,7 @@
             let now = self.now;
             let before = || self.servers.values().rev().filter(|s| s.place == e.place);
             let (usual, lines) = (before().find_map(|s| s.usual), before().find_map(|s| s.lines));
+            let place_completes = before().find_map(|s| s.place_completes);
             let server = self.servers.entry(e.server).or_insert_with(|| Server {
                 zone: e.zone,
                 place: e.place,
@@ -303,6 +307,9 @@
                 room: f64::MAX,
                 heard: now,
                 floor: f64::MAX,
+                completed: Rate::new(now),
+                place_completes,
+                place_learns_at: now + WATCHED,
                 usual,
                 ..Server::default()
             });
@@ -417,10 +424,12 @@
     fn report(&mut self, server: ServerId, report: Option<&Report>) {
         let (Some(s), Some(r)) = (self.servers.get_mut(&server), report) else { return };
         s.told_lines(r);
-        let occupancy = figure(r.occupancy).filter(|o| *o <= 1.0);
-        if let Some(occ) = occupancy.or(figure(r.wait).map(|w| w / self.target)) {
+        if let Some(occ) = reported_occupancy(r, self.target) {
             s.window.reported.add(occ);
             self.room.report(occ);
+            if s.cold_from.is_none() {
+                self.capacity.report(self.now, occ);
+            }
             if occ < MIN_OCCUP {
                 s.idle_at = self.now;
             }
@@ -547,10 +556,7 @@
             return;
         };
         if call.attempts == 0 {
-            let age = now.saturating_sub(self.rate_at) as f64;
-            self.rate = self.rate * (-age / RATE_SPAN).exp() + 1.0 / RATE_SPAN;
-            self.rate_at = now;
-            self.rate_from.get_or_insert(now);
+            self.started.get_or_insert_with(|| Rate::new(now)).count(now);
         }
         call.phase = Phase::Out(server);
         call.attempts += 1;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod refusal;
 mod server_health;
 pub mod sites;
+mod throughput;
 pub mod window;
 
 pub use choice::Controller;
--- a/src/server_health.rs
+++ b/src/server_health.rs
@@ -4,6 +4,7 @@
 use crate::interface::*;
 use crate::mean::Mean;
 use crate::sites::{self, COLD_AFTER};
+use crate::throughput::{Completed, Rate};
 use crate::window::{
     CC_PERIOD, LEAST_SHARE, MIN_FRACTION_CALLS, MIN_OCCUP, OCC_TOO_HIGH, OPPUI, Window, next_window,
 };
@@ -78,6 +79,12 @@
     /// Share of errors among its latest answers.
     pub(crate) ill: f64,
     pub(crate) floor: f64,
+    /// Set-ups that it has answered, since it was listed or turned warm.
+    pub(crate) completed: Rate,
+    /// Set-ups per call control period that its place completes for this node; none before it was warm.
+    pub(crate) place_completes: Option<f64>,
+    /// When that is brought up to date.
+    pub(crate) place_learns_at: Time,
     /// Starts per call control period that this place took in good times.
     pub(crate) usual: Option<f64>,
 }
@@ -113,12 +120,18 @@
 
     /// Most starts a period may have. Warm: a little over the usual.
     ///
-    /// Cold: guard against a server pushed over by all nodes together. A node sends what it usually sent to
-    /// this place (or `even`, its rate over the servers, where that is more), times the share of its
-    /// capacity a server has this long after its start. Covers replacements and returns from silence; a
+    /// Cold: guard against a server pushed over by all nodes together. A node sends its `part` of a warm
+    /// server's capacity, times the share of its capacity a server has this long after its start, and one
+    /// call of all nodes a period where it knows no part. Covers replacements and returns from silence; a
     /// server that cannot be reached may start at any moment, so its tests are held to the same at age 0. One
     /// that is merely silent may be slow, and is tested at the least window.
-    pub(crate) fn most_starts(&mut self, now: Time, even: f64, room: f64, settings: &Settings) -> f64 {
+    pub(crate) fn most_starts(
+        &mut self,
+        now: Time,
+        (even, part): (f64, f64),
+        room: f64,
+        settings: &Settings,
+    ) -> f64 {
         let usual = self.usual.unwrap_or(even).max(even);
         let age = match (&self.down, self.cold_from) {
             (Some(d), _) if !d.unreached => return LEAST_SHARE * usual,
@@ -132,11 +145,31 @@
         };
         if age >= settings.cold {
             self.cold_from = None;
+            self.completed = Rate::new(now);
             // Guards against a window of 0 for good: a node that has just started knows no usual yet.
             self.window.n = self.window.n.or(Some(usual).filter(|n| *n > 0.0));
             return if usual > 0.0 { usual } else { f64::MAX };
         }
-        usual * sites::cold_part(settings, age)
+        (part * sites::cold_part(settings, age)).max(1.0 / f64::from(settings.nodes.max(1)))
+    }
+
+    /// Learns once a period what its place completes for this node, beginning with an `even` part. Few calls
+    /// say little, so they move it less.
+    pub(crate) fn learn_place(&mut self, now: Time, even: f64) {
+        if now < self.place_learns_at || !self.ready || self.cold_from.is_some() || self.down.is_some() {
+            return;
+        }
+        self.place_learns_at = now + CC_PERIOD;
+        let place = self.place_completes.get_or_insert(even);
+        *place += SMOOTH * even.min(1.0) * (self.completed.per_period(now) - *place);
+    }
+
+    /// What it completes for this node, unless it is out of service or out of order.
+    pub(crate) fn completed(&self, now: Time, lines: f64, settings: &Settings) -> Option<Completed> {
+        let works = self.ready && self.down.is_none() && self.ill < HOPELESS;
+        let age = self.cold_from.map(|from| now.saturating_sub(from));
+        let warmth = age.map_or(1.0, |age| sites::warmth(settings, age));
+        works.then(|| Completed { rate: self.completed.per_period(now), lines, warmth })
     }
 
     /// Whether one more start belongs to the least window of this OPPUI.
@@ -225,6 +258,7 @@
         let sent = now.saturating_sub(elapsed);
         let elapsed = elapsed as f64;
         self.heard = now;
+        self.completed.count(now);
         if self.ill >= HOPELESS {
             self.window.n = self.usual;
         }
--- a/src/sites.rs
+++ b/src/sites.rs
@@ -80,12 +80,16 @@
 /// Part of the stated fall multiple that may be used while a server is cold, ratio: burst and error of the usual.
 pub const FALL_MARGIN: f64 = 0.5;
 
-/// What a server may be sent this long after its start, over what it is usually sent: the share of its capacity that
-/// it is sure to have, and with a wide margin less than would push it over, though all nodes do the same.
-pub fn cold_part(settings: &Settings, age: Time) -> f64 {
+/// The share of its capacity that a server is sure to have this long after its start.
+pub fn warmth(settings: &Settings, age: Time) -> f64 {
     let start = settings.start_capacity;
-    let share = start + (1.0 - start) * age as f64 / settings.cold.max(1) as f64;
-    share.min(1.0) * (settings.fall_multiple * FALL_MARGIN).min(1.0)
+    (start + (1.0 - start) * age as f64 / settings.cold.max(1) as f64).min(1.0)
+}
+
+/// What a server may be sent this long after its start, over its capacity: what it is sure to be able to do, and with a
+/// wide margin less than would push it over.
+pub fn cold_part(settings: &Settings, age: Time) -> f64 {
+    warmth(settings, age) * (settings.fall_multiple * FALL_MARGIN).min(1.0)
 }
 
 /// Weight of the newest report in the mean occupancy of all servers, ratio (ours): some twenty seconds of a small node.
--- a/tests/module_size.rs
+++ b/tests/module_size.rs
@@ -1,12 +1,13 @@
 //! The decision modules stay readable, and the platform is told of each.
 
-const MODULES: [(&str, &str); 6] = [
+const MODULES: [(&str, &str); 7] = [
     ("src/choice.rs", include_str!("../src/choice.rs")),
     ("src/server_health.rs", include_str!("../src/server_health.rs")),
     ("src/window.rs", include_str!("../src/window.rs")),
     ("src/refusal.rs", include_str!("../src/refusal.rs")),
     ("src/sites.rs", include_str!("../src/sites.rs")),
     ("src/probes.rs", include_str!("../src/probes.rs")),
+    ("src/throughput.rs", include_str!("../src/throughput.rs")),
 ];
 
 /// Lines of one module at most that are not blank.
