--- a/proxy/src/dns/front.rs
+++ b/proxy/src/dns/front.rs
@@ -6,7 +6,7 @@
 use super::{Decoder, framed};
 use crate::clock::unix_now;
 use crate::engine::{Input, Reply, Request, Source};
-use crate::hub::Message;
+use crate::hub::{CallerConnection, Message};
 use crate::lifecycle::shared::SharedLifecycle;
 use crate::limits::Limits;
 use crate::net::{ConnectionSlot, Next, SlotLimits, accept_all, messages_noting, write_all};
@@ -97,7 +97,7 @@
     /// Serves all queries over UDP.
     pub async fn datagrams(self: Rc<Self>, socket: Async<UdpSocket>) {
         let (replies, to_send) = async_channel::unbounded();
-        if self.core.send(Message::Open(DATAGRAMS, replies)).await.is_err() {
+        if self.core.send(Message::Open(DATAGRAMS, CallerConnection::unlimited(replies))).await.is_err() {
             return;
         }
         let waiting = RefCell::new(Waiting::new());
@@ -141,7 +141,7 @@
     /// Serves one connection, until the asker ends it or says nothing for too long.
     async fn connection(&self, stream: Async<TcpStream>, source: Source, slot: &ConnectionSlot) {
         let (replies, to_send) = async_channel::unbounded();
-        if self.core.send(Message::Open(source, replies)).await.is_err() {
+        if self.core.send(Message::Open(source, CallerConnection::unlimited(replies))).await.is_err() {
             return;
         }
         let (own, own_to_send) = async_channel::bounded::<Vec<u8>>(self.limits.own_queue);
--- a/proxy/src/engine.rs
+++ b/proxy/src/engine.rs
@@ -149,6 +149,8 @@
 #[derive(Clone, Debug)]
 pub struct Setup {
     pub id: CallId,
+    /// The connection that it came on.
+    pub source: Source,
     pub attempt: u32,
     /// The name of its class.
     pub class: Rc<str>,
@@ -410,7 +412,11 @@
                 Some(Call { stage: Stage::Open { .. }, source: own, .. }) if *own != source => {
                     out.push(Output::Reply(Some(source), id, Reply::Unknown));
                 }
-                Some(_) => self.left(id, out),
+                Some(call) => {
+                    let stands = matches!(call.stage, Stage::Stands { .. }).then_some(call.source);
+                    self.left(id, out);
+                    out.extend(stands.map(|source| Output::Reply(Some(source), id, Reply::Heard)));
+                }
                 // Its own release has crossed the call's end, or nobody knows it.
                 None if self.ended.ids.contains(&id) => {}
                 None => out.push(Output::Reply(Some(source), id, Reply::Unknown)),
@@ -514,7 +520,6 @@
             }
             Stage::Stands { attempt, server, .. } => {
                 out.push(Output::Order(server, Order::Release(id, CAUSE_NORMAL)));
-                out.push(Output::Reply(Some(call.source), id, Reply::Heard));
                 Some(finished(id, attempt, server, Outcome::Cancelled, None))
             }
         }
@@ -535,6 +540,9 @@
             return;
         };
         call.stage = Stage::Stands { attempt, server, since: now };
+        // It goes out no more.
+        call.payload = Rc::default();
+        call.number = String::new();
         self.deadlines.remove(&(deadline, id));
         out.push(Output::Reply(Some(call.source), id, Reply::Stands(payload)));
         out.push(Output::Progress(id, Progress::Stands(server)));
@@ -804,6 +812,7 @@
         *attempt = Some((n, server, now));
         let setup = Setup {
             id,
+            source: call.source,
             attempt: n,
             class: self.classes.name(call.class),
             number: call.number.clone(),
--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -10,6 +10,8 @@
 use crate::lifecycle::Event as LifecycleEvent;
 use crate::lifecycle::shared::SharedLifecycle;
 use crate::limits::Limits;
+use crate::memory_budget::ConnectionMemory;
+use crate::net::HangUpProbe;
 use crate::peers::calls::{PeerCalls, Whereabouts};
 use crate::peers::message::PeerMessage;
 use crate::peers::{PeerEvent, PeerId};
@@ -18,6 +20,7 @@
 use fernspan_core::{CallId, Entry, ListKind, Outcome, ServerId, Settings, State, Time};
 use futures_lite::future;
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::rc::Rc;
 use std::time::Duration;
 
 /// A server as a list names it.
@@ -33,8 +36,8 @@
 #[derive(Debug)]
 pub enum Message {
     Input(Input),
-    /// A caller's connection, and where its replies go.
-    Open(Source, Sender<(CallId, Reply)>),
+    /// A caller's connection.
+    Open(Source, CallerConnection),
     /// A connection ended before this could be written to it.
     Undelivered(CallId, Reply),
     List(ListKind, Vec<ListedServer>),
@@ -48,6 +51,25 @@
     CallersGone,
 }
 
+/// A caller's connection as its front hands it over.
+#[derive(Debug)]
+pub struct CallerConnection {
+    /// Where its replies go.
+    pub replies: Sender<(CallId, Reply)>,
+    /// What is held for it.
+    pub memory: Rc<ConnectionMemory>,
+    /// Whether the caller is still there.
+    pub hang_up: HangUpProbe,
+}
+
+impl CallerConnection {
+    /// One that is bounded by other means, and whose end its front tells.
+    pub fn unlimited(replies: Sender<(CallId, Reply)>) -> Self {
+        let (memory, hang_up) = (ConnectionMemory::unlimited(), HangUpProbe::default());
+        CallerConnection { replies, memory, hang_up }
+    }
+}
+
 /// What a new configuration changes in the core.
 #[derive(Debug)]
 pub struct NewSettings {
@@ -62,9 +84,12 @@
     fn open(&self, server: ServerId, addr: &str, orders: Receiver<Order>, core: Sender<Message>);
 }
 
+/// Messages that the core takes before all others have had a turn.
+const MESSAGES_IN_A_TURN: usize = 64;
+
 /// A caller's connection.
 struct Caller {
-    replies: Sender<(CallId, Reply)>,
+    connection: CallerConnection,
     /// Calls of its that stood.
     served: u64,
 }
@@ -130,6 +155,7 @@
     /// Serves until it is told to stop and nothing is left to answer.
     pub async fn run(mut self, messages: Receiver<Message>) {
         let mut callers_gone = false;
+        let mut in_a_turn = 0;
         loop {
             let due = self.engine.due();
             let wait = due.map(|at| Duration::from_micros(at.saturating_sub(unix_now())));
@@ -154,7 +180,7 @@
                     }
                     self.handle(now, input, &mut out);
                 }
-                Some(Message::Open(source, replies)) => self.caller_opened(now, source, replies),
+                Some(Message::Open(source, connection)) => self.caller_opened(now, source, connection),
                 Some(Message::Undelivered(id, reply)) => out.push(Output::Reply(None, id, reply)),
                 Some(Message::List(kind, servers)) => self.list(now, kind, servers, &mut out),
                 Some(Message::Settings(new, done)) => self.reconfigure(*new, &done),
@@ -166,8 +192,13 @@
             self.engine.handle_due(now, &mut out);
             self.carry_out(now, out);
             self.report_load(now);
-            // Guards the writers: they get their turn however many messages wait here.
-            future::yield_now().await;
+            // Guards the writers: they get their turn however many messages wait here. And the calls: hundreds of
+            // connections that have much to say each take a turn between two of this.
+            in_a_turn += 1;
+            if in_a_turn >= MESSAGES_IN_A_TURN || messages.is_empty() {
+                in_a_turn = 0;
+                future::yield_now().await;
+            }
             if callers_gone && self.engine.open() == 0 && messages.is_empty() {
                 return;
             }
@@ -196,17 +227,17 @@
         self.engine.handle(now, input, out);
     }
 
-    fn caller_opened(&mut self, now: Time, source: Source, replies: Sender<(CallId, Reply)>) {
+    fn caller_opened(&mut self, now: Time, source: Source, connection: CallerConnection) {
         let mut passed_on = Vec::new();
         while let Some((server, reply)) = self.undelivered.pop_front() {
             let id = reply.0;
-            if let Err(back) = replies.try_send(reply) {
+            if let Err(back) = connection.replies.try_send(reply) {
                 self.undelivered.push_front((server, back.into_inner()));
                 break;
             }
             passed_on.extend(server.map(|server| Output::Order(server, Order::Heard(id))));
         }
-        self.callers.insert(source, Caller { replies, served: 0 });
+        self.callers.insert(source, Caller { connection, served: 0 });
         self.carry_out(now, passed_on);
     }
 
@@ -260,13 +291,20 @@
                         continue;
                     }
                     let stands = matches!(reply, Reply::Stands(_));
+                    let reply = self.bounded(source, reply);
+                    let stood = matches!(reply, Reply::Stands(_));
                     // Guards against a call that stands for a caller who was never told so.
-                    if !self.reply(source, None, id, reply) && stands {
+                    if !(self.reply(source, None, id, reply) && stood) && stands {
                         let mut more = Vec::new();
                         self.handle(now, Input::Unheard(id), &mut more);
                         todo.extend(more);
                     }
                 }
+                Output::Order(_, Order::Start(setup)) if self.has_left(setup.source) => {
+                    let mut more = Vec::new();
+                    self.handle(now, Input::SourceGone(setup.source), &mut more);
+                    todo.extend(more);
+                }
                 Output::Order(server, order) => {
                     let allowed = self.guard.allows_order(now, server, &order);
                     events::log_order(server, &order);
@@ -298,6 +336,22 @@
         }
     }
 
+    /// Whether a caller has left, though its front has not come to read that. Guards the servers against set-ups that
+    /// waited here for longer than their caller, as after this process stood still.
+    fn has_left(&self, source: Source) -> bool {
+        self.callers.get(&source).is_some_and(|caller| caller.connection.hang_up.has_hung_up())
+    }
+
+    /// The reply itself, or a failure in place of an answer that there is no room for: its caller reads none.
+    fn bounded(&self, source: Option<Source>, reply: Reply) -> Reply {
+        let Reply::Stands(description) = &reply else { return reply };
+        let caller = source.and_then(|source| self.callers.get(&source));
+        match caller.is_none_or(|caller| caller.connection.memory.hold_answer(description.len())) {
+            true => reply,
+            false => Reply::Failed,
+        }
+    }
+
     /// Passes on the end of a call that this process does not have. Says whether it has gone on its way.
     fn pass_on(&mut self, server: ServerId, id: CallId, cause: u8, news: bool) -> bool {
         match self.peer_calls.whereabouts(id) {
@@ -340,8 +394,9 @@
             // in one moment, as when a server dies. Guards the memory against a caller that asks for other words
             // without end and reads none: its connection ends, not this program.
             let other = matches!(reply, Reply::Unknown | Reply::Heard);
-            if !(other && caller.replies.len() >= self.limits.caller_queue) {
-                let Err(back) = caller.replies.try_send((id, reply)) else { return Ok(()) };
+            let replies = &caller.connection.replies;
+            if !(other && replies.len() >= self.limits.caller_queue) {
+                let Err(back) = replies.try_send((id, reply)) else { return Ok(()) };
                 reply = back.into_inner().1;
             }
             self.callers.remove(&at);
--- a/proxy/src/hub/tests.rs
+++ b/proxy/src/hub/tests.rs
@@ -70,7 +70,7 @@
     let orders = async_io::block_on(executor.run(async {
         let tell = |message| queue.try_send(message).expect("the core is there");
         tell(Message::List(ListKind::Saved, listed(State::Ready)));
-        tell(Message::Open(1, replies));
+        tell(Message::Open(1, CallerConnection::unlimited(replies)));
         tell(call(10));
         let orders = loop {
             let first = stuck.0.borrow().first().cloned();
@@ -128,7 +128,7 @@
             // Once more: the last message is in the core's hands.
             future::yield_now().await;
         };
-        tell(Message::Open(1, replies));
+        tell(Message::Open(1, CallerConnection::unlimited(replies)));
         for id in 10..15 {
             tell(Message::Input(Input::Over { id, server: 0, cause: 16, report: None }));
         }
--- a/proxy/src/isup/connection.rs
+++ b/proxy/src/isup/connection.rs
@@ -1,6 +1,7 @@
 //! What one caller's connection has to remember, and the replies on their way to it.
 
 use crate::engine::Reply;
+use crate::memory_budget::Reservation;
 use async_io::Async;
 use fernspan_core::CallId;
 use futures_lite::AsyncWriteExt;
@@ -13,8 +14,8 @@
 /// What a connection has to remember.
 #[derive(Default)]
 pub struct Table {
-    /// Set-ups that have no answer yet, with their classes.
-    pub open: BTreeMap<CallId, Rc<str>>,
+    /// Set-ups that have no answer yet.
+    pub open: BTreeMap<CallId, OpenSetup>,
     /// Calls that stand, as far as this connection has heard.
     pub standing: BTreeSet<CallId>,
     /// The latest that were answered here, without the core.
@@ -23,6 +24,14 @@
     pub released: VecDeque<(CallId, u8, Instant)>,
 }
 
+/// A set-up that has no answer yet.
+pub struct OpenSetup {
+    /// The name of its class.
+    pub class: Rc<str>,
+    /// What is held for it.
+    pub reservation: Reservation,
+}
+
 /// How many set-ups that were answered without the core a connection remembers.
 const OWN_MOST: usize = 128;
 
--- a/proxy/src/isup/front.rs
+++ b/proxy/src/isup/front.rs
@@ -1,7 +1,8 @@
 //! Takes callers' connections and translates between them and the engine.
 
-use super::connection::{PendingReplies, Table};
+use super::connection::{OpenSetup, PendingReplies, Table};
 use super::names::SharedNames;
+use super::reader::{ReaderLimits, Received, received};
 use super::*;
 use crate::engine::{Input, Reply, Source};
 use crate::figures::{AnswerKind, Figures};
@@ -9,17 +10,23 @@
 use crate::invariant::{Invariant, Violations};
 use crate::lifecycle::shared::SharedLifecycle;
 use crate::limits::Limits;
-use crate::net::{ConnectionSlot, Next, SlotLimits, accept_all, messages_noting, within};
+use crate::loop_lag::{InputShare, LoopLag};
+use crate::memory_budget::{ConnectionMemory, Reservation, SharedBudget};
+use crate::net::{ConnectionSlot, HangUpProbe, Next, SlotLimits, accept_all, has_hung_up, within};
 use crate::reasons::{AnswerReason, Hex};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
-use async_io::Async;
+use async_io::{Async, Timer};
 use fernspan_core::Time;
 use futures_lite::{AsyncReadExt, future, pin};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Messages of one connection that are taken in the turn of another.
+const MESSAGES_IN_A_TURN: usize = 16;
 
 /// Listens for callers.
 pub struct Front {
@@ -32,6 +39,10 @@
     /// Another process accepts from the same socket, and takes what this one does not.
     pub shares_socket: bool,
     pub violations: Violations,
+    /// What is held for all callers together.
+    pub memory: SharedBudget,
+    /// How late the loop is that all connections share.
+    pub lag: LoopLag,
 }
 
 /// A release that says that trying again is harmless, and after how long.
@@ -71,9 +82,13 @@
     /// One connection, until either side ends it. Bytes that are no message end it too.
     async fn serve(&self, stream: Async<TcpStream>, source: Source, slot: &ConnectionSlot) {
         let _ = stream.get_ref().set_nodelay(true);
+        let stream = Rc::new(stream);
+        let memory = ConnectionMemory::new(self.memory.clone());
         let (replies, to_write) = async_channel::unbounded();
         // The core alone holds the sender: when it drops it, the connection ends.
-        if self.core.send(hub::Message::Open(source, replies)).await.is_err() {
+        let connection =
+            hub::CallerConnection { replies, memory: memory.clone(), hang_up: HangUpProbe::new(&stream) };
+        if self.core.send(hub::Message::Open(source, connection)).await.is_err() {
             return;
         }
         let (own, own_to_write) = async_channel::bounded(self.limits.own_queue);
@@ -81,20 +96,20 @@
         let table = RefCell::new(Table::default());
         let pending = PendingReplies::default();
         let end = {
-            let writing = async {
-                self.write(&stream, &to_write, &own_to_write, &pending, &table, slot, &flushed).await;
+            let mut writing = Box::pin(async {
+                self.write(&stream, &to_write, &own_to_write, &pending, &table, slot, &memory, &flushed)
+                    .await;
                 flushed.close();
                 future::pending().await
-            };
+            });
             let broken = async {
                 while flushes.recv().await.is_ok() {}
                 End::Gone
             };
-            pin!(writing);
-            let reading = self.read(&stream, source, &table, &own, slot);
+            let reading = Box::pin(self.read(&stream, source, &table, &own, slot, &memory));
             let end = future::or(reading, future::or(broken, &mut writing)).await;
             tracing::debug!(connection = source, reason = ?end, "caller's connection ends");
-            let ending = async {
+            let ending = Box::pin(async {
                 if end == End::ClosedHere && !table.borrow().open.is_empty() {
                     let _ = self.core.send(hub::Message::Input(Input::AnswerNow(source))).await;
                 }
@@ -110,7 +125,7 @@
                 own.close();
                 while flushes.recv().await.is_ok() {}
                 end
-            };
+            });
             if end != End::Gone {
                 within(self.limits.write, future::or(ending, &mut writing)).await;
                 let _ = stream.get_ref().shutdown(Shutdown::Write);
@@ -171,7 +186,7 @@
         let being_written: BTreeSet<CallId> = pending.replies.borrow().iter().map(|r| r.1).collect();
         open.retain(|call, _| !being_written.contains(call));
         pending.keep_back(std::iter::from_fn(|| to_write.try_recv().ok()));
-        for (call, class) in open.into_iter().filter(|_| end != Some(End::Gone)) {
+        for (call, OpenSetup { class, .. }) in open.into_iter().filter(|_| end != Some(End::Gone)) {
             let message = Message::new(RELEASE, call).with(CAUSE, &[CAUSE_FAILED]);
             let counts = Some(Counted { class, kind: AnswerKind::Error });
             let _ = own.send(OwnAnswer { message, counts }).await;
@@ -189,19 +204,22 @@
         table: &RefCell<Table>,
         own: &Sender<OwnAnswer>,
         slot: &ConnectionSlot,
+        memory: &Rc<ConnectionMemory>,
     ) -> End {
-        let decoder = Decoder { most: self.limits.message };
-        let (read, rest) = (self.limits.read, self.limits.rest);
-        let messages = messages_noting(stream, decoder, read, rest, slot.unfinished());
+        let limits = ReaderLimits { message: self.limits.message, rest: self.limits.rest };
+        let messages = received(stream, memory.clone(), limits, slot.unfinished());
         pin!(messages);
+        let mut share = InputShare::new(Instant::now());
+        // How long what is read next may have waited here.
+        let mut paused = Duration::ZERO;
         loop {
             let mut next = slot.next(&mut messages, &self.limits).await;
             let (mut batch, mut held) = (Vec::new(), 0);
             let mut end = loop {
                 match next {
-                    Next::Message(message) => {
-                        held += message.length();
-                        batch.push(message);
+                    Next::Message(received) => {
+                        held += received.length;
+                        batch.push(received);
                     }
                     Next::End => break Some(End::Gone),
                     Next::Leave => break Some(End::ClosedHere),
@@ -223,11 +241,19 @@
                     None => break None,
                 }
             };
-            let given_up = withdraw(&mut batch, end == Some(End::Gone), &table.borrow().open);
+            // Guards the servers against set-ups of a client that has left behind much which is not read yet.
+            let sets_up = batch.iter().any(|received| received.message.kind == SETUP);
+            let gone = end == Some(End::Gone) || sets_up && has_hung_up(stream);
+            let given_up = withdraw(&mut batch, gone, &table.borrow().open);
             // A second give-up of these gets no word either.
             given_up.into_iter().for_each(|call| table.borrow_mut().answered(call));
-            for message in batch {
-                let read = self.input(&message, source, &mut table.borrow_mut(), slot);
+            let turns = batch.len() / MESSAGES_IN_A_TURN;
+            let over_share = share.take(Instant::now(), batch.len(), held);
+            for Received { message, reservation, .. } in batch {
+                let mut read = self.input(&message, reservation, source, &mut table.borrow_mut(), slot);
+                if let Read::Input(Input::Call(request)) = &mut read {
+                    request.at = request.at.saturating_sub(paused.as_micros() as Time);
+                }
                 let taken = match read {
                     Read::Input(input) => self.core.send(hub::Message::Input(input)).await.is_ok(),
                     Read::Answer(answer) => own.send(answer).await.is_ok(),
@@ -248,13 +274,28 @@
                 return end;
             }
             slot.used(!table.borrow().open.is_empty());
+            // Guards the others against a client that sends on and on: each has as many turns.
+            for _ in 0..turns {
+                future::yield_now().await;
+            }
+            paused = if over_share { self.lag.pause() } else { Duration::ZERO };
+            if !paused.is_zero() {
+                Timer::after(paused).await;
+            }
             // One caller's flood must not keep the others from their turn.
             future::yield_now().await;
         }
     }
 
     /// What a message asks for.
-    fn input(&self, message: &Message, source: Source, table: &mut Table, slot: &ConnectionSlot) -> Read {
+    fn input(
+        &self,
+        message: &Message,
+        reservation: Option<Reservation>,
+        source: Source,
+        table: &mut Table,
+        slot: &ConnectionSlot,
+    ) -> Read {
         let call = message.call;
         let release = |cause: u8| Message::new(RELEASE, call).with(CAUSE, &[cause]);
         match message.kind {
@@ -266,15 +307,19 @@
                 slot.mark_refused();
                 self.refuse(message, table)
             }
-            // Guards the core's queue and its table against one caller's flood.
-            SETUP if table.open.len() >= self.limits.open_per_caller => self.refuse(message, table),
+            // Guards the core's queue and its table against one caller's flood, and the memory against all of them.
+            SETUP if reservation.is_none() || table.open.len() >= self.limits.open_per_caller => {
+                self.refuse(message, table)
+            }
             SETUP => match self.names.borrow().request(message, source, self.limits.units) {
                 Ok(request) => {
+                    let Some(reservation) = reservation else { return self.refuse(message, table) };
                     if self.shares_socket && self.lifecycle.get().serves().is_err() {
                         self.violations.count(Invariant::TakenBeforeReady, Some(call));
                     }
                     let class = self.counts(message, AnswerKind::Error).map(|counted| counted.class);
-                    table.open.insert(call, class.unwrap_or_default());
+                    let class = class.unwrap_or_default();
+                    table.open.insert(call, OpenSetup { class, reservation });
                     Read::Input(Input::Call(request))
                 }
                 Err(cause) => {
@@ -315,6 +360,7 @@
         pending: &PendingReplies,
         table: &RefCell<Table>,
         slot: &ConnectionSlot,
+        memory: &ConnectionMemory,
         flushed: &Sender<()>,
     ) {
         loop {
@@ -329,14 +375,20 @@
                 bytes.extend(own.message.encode(self.limits.message).unwrap_or_default());
                 counted.extend(own.counts);
             }
-            for (call, reply) in reply.into_iter().chain(std::iter::from_fn(|| replies.try_recv().ok())) {
+            let mut next = reply;
+            while let Some((call, reply)) = next.take() {
                 // Guards a caller that has given up against an answer all the same: the core has heard of it by now, or
                 // will next, and releases what stands.
                 if reply.ends_a_set_up() && !table.borrow().open.contains_key(&call) {
-                    continue;
+                    drop_answer(&reply, memory);
+                } else {
+                    bytes.extend(self.encode(call, &reply).unwrap_or_default());
+                    pending.replies.borrow_mut().push((bytes.len(), call, reply));
+                }
+                // Guards the memory: what is written at once is copied, and answers may be long.
+                if bytes.len() < self.limits.message {
+                    next = replies.try_recv().ok();
                 }
-                bytes.extend(self.encode(call, &reply).unwrap_or_default());
-                pending.replies.borrow_mut().push((bytes.len(), call, reply));
             }
             if bytes.is_empty() && pending.replies.borrow().is_empty() {
                 match ended {
@@ -355,8 +407,10 @@
             let mut table = table.borrow_mut();
             for (_, call, reply) in pending.replies.borrow_mut().drain(..) {
                 let kind = match reply {
-                    Reply::Stands(_) => {
+                    Reply::Stands(description) => {
                         slot.mark_served();
+                        memory.mark_served();
+                        memory.drop_answer(description.len());
                         table.standing.insert(call);
                         AnswerKind::Success
                     }
@@ -373,7 +427,7 @@
                     }
                     Reply::Unknown => continue,
                 };
-                if let Some(class) = table.open.remove(&call) {
+                if let Some(OpenSetup { class, .. }) = table.open.remove(&call) {
                     self.figures.answered(&class, kind);
                 }
             }
@@ -395,19 +449,27 @@
     ProtocolError,
 }
 
+/// An answer that is not written holds nothing any more.
+fn drop_answer(reply: &Reply, memory: &ConnectionMemory) {
+    if let Reply::Stands(description) = reply {
+        memory.drop_answer(description.len());
+    }
+}
+
 /// Takes out the set-ups whose caller has left by now: `gone`, or with a give-up further on, which goes as well. Gives the
 /// calls that were given up.
-fn withdraw(batch: &mut Vec<Message>, gone: bool, open: &BTreeMap<CallId, Rc<str>>) -> BTreeSet<CallId> {
+fn withdraw(batch: &mut Vec<Received>, gone: bool, open: &BTreeMap<CallId, OpenSetup>) -> BTreeSet<CallId> {
     let mut given_up = BTreeSet::new();
     let mut left = BTreeSet::new();
-    for message in batch.iter().rev().filter(|m| !open.contains_key(&m.call)) {
+    let messages = || batch.iter().map(|received| &received.message);
+    for message in messages().rev().filter(|m| !open.contains_key(&m.call)) {
         match message.kind {
             RELEASE => given_up.insert(message.call),
             SETUP if given_up.contains(&message.call) => left.insert(message.call),
             _ => false,
         };
     }
-    batch.retain(|m| !(left.contains(&m.call) || gone && m.kind == SETUP));
+    batch.retain(|Received { message, .. }| !(left.contains(&message.call) || gone && message.kind == SETUP));
     left
 }
 
--- a/proxy/src/isup/front/tests.rs
+++ b/proxy/src/isup/front/tests.rs
@@ -1,5 +1,6 @@
 use super::super::names::{NamedClass, Names};
 use super::*;
+use crate::memory_budget::MemoryBudget;
 use std::io::Read as _;
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
     fn new() -> Scene {
         let (core, messages) = async_channel::unbounded();
         let limits = Limits::new(256, 64 << 20, 20_000, Duration::from_millis(500), 9_000_000);
+        let memory = Rc::new(RefCell::new(MemoryBudget::new(limits.client_memory)));
         let lifecycle = SharedLifecycle::new(&limits);
         let names = Names {
             classes: vec![NamedClass { name: "voice".into(), number: 0, patience: 9_000_000, places: None }],
@@ -33,6 +35,8 @@
             lifecycle,
             shares_socket: false,
             violations: Violations::default(),
+            memory,
+            lag: LoopLag::default(),
         });
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a free port");
         let at = listener.get_ref().local_addr().expect("bound");
@@ -41,8 +45,8 @@
         let caller = TcpStream::connect(at).expect("connected");
         caller.set_read_timeout(Some(Duration::from_secs(10))).expect("a time-out");
         let mut scene = Scene { executor, core: messages, replies: None, caller };
-        let hub::Message::Open(_, replies) = scene.hears() else { panic!("a connection opens") };
-        scene.replies = Some(replies);
+        let hub::Message::Open(_, connection) = scene.hears() else { panic!("a connection opens") };
+        scene.replies = Some(connection.replies);
         scene
     }
 
--- a/proxy/src/isup/mod.rs
+++ b/proxy/src/isup/mod.rs
@@ -3,6 +3,7 @@
 pub mod connection;
 pub mod front;
 pub mod names;
+pub mod reader;
 
 use crate::net::{Decode, WireError};
 use fernspan_core::CallId;
@@ -39,12 +40,15 @@
 /// Q.850: invalid information element contents.
 pub const CAUSE_INVALID: u8 = 100;
 
-/// One message.
+/// Bytes of kind and call id, which every message has.
+const HEAD: usize = 9;
+
+/// One message. Its parameters stay as they came: a list of very many short ones takes no more than its bytes.
 #[derive(Debug, PartialEq)]
 pub struct Message {
     pub kind: u8,
     pub call: CallId,
-    pub parameters: Vec<(u8, Vec<u8>)>,
+    parameters: Vec<u8>,
 }
 
 impl Message {
@@ -52,13 +56,40 @@
         Message { kind, call, parameters: Vec::new() }
     }
 
+    /// The message of these bytes, which follow its length.
+    ///
+    /// # Errors
+    /// Bytes that are no message.
+    pub fn read(mut body: Vec<u8>) -> Result<Self, WireError> {
+        let (head, parameters) =
+            body.split_at_checked(HEAD).ok_or(WireError::Malformed("message shorter than its head"))?;
+        check_parameters(parameters)?;
+        let (kind, call) = (head[0], call_id(head));
+        body.drain(..HEAD);
+        Ok(Message { kind, call, parameters: body })
+    }
+
+    /// With one more parameter. One that is too long makes the whole message too long to be encoded.
     pub fn with(mut self, code: u8, value: &[u8]) -> Self {
-        self.parameters.push((code, value.to_vec()));
+        let length = u16::try_from(value.len()).unwrap_or(u16::MAX);
+        self.parameters.push(code);
+        self.parameters.extend(length.to_be_bytes());
+        self.parameters.extend(value);
         self
     }
 
+    /// Codes and values, in their order.
+    pub fn parameters(&self) -> impl Iterator<Item = (u8, &[u8])> {
+        let mut left = &self.parameters[..];
+        std::iter::from_fn(move || {
+            let (code, value, rest) = first_parameter(left)?;
+            left = rest;
+            Some((code, value))
+        })
+    }
+
     pub fn get(&self, code: u8) -> Option<&[u8]> {
-        self.parameters.iter().find(|p| p.0 == code).map(|p| p.1.as_slice())
+        self.parameters().find(|(parameter, _)| *parameter == code).map(|(_, value)| value)
     }
 
     pub fn text(&self, code: u8) -> Option<&str> {
@@ -67,25 +98,55 @@
 
     /// Bytes that it took on the wire.
     pub fn length(&self) -> usize {
-        11 + self.parameters.iter().map(|p| p.1.len() + 3).sum::<usize>()
+        2 + HEAD + self.parameters.len()
     }
 
     /// The bytes, or nothing where they would be over `most`.
     pub fn encode(&self, most: usize) -> Option<Vec<u8>> {
-        let mut bytes = vec![0, 0, self.kind];
+        let length = u16::try_from(HEAD + self.parameters.len()).ok().filter(|_| self.length() <= most)?;
+        let mut bytes = Vec::with_capacity(self.length());
+        bytes.extend(length.to_be_bytes());
+        bytes.push(self.kind);
         bytes.extend(self.call.to_be_bytes());
-        for (code, value) in &self.parameters {
-            bytes.push(*code);
-            bytes.extend(u16::try_from(value.len()).ok()?.to_be_bytes());
-            bytes.extend(value);
-        }
-        let length = u16::try_from(bytes.len() - 2).ok().filter(|_| bytes.len() <= most)?;
-        bytes[..2].copy_from_slice(&length.to_be_bytes());
+        bytes.extend(&self.parameters);
         Some(bytes)
     }
 }
 
-/// Cuts the bytes of a connection into messages.
+/// The first parameter: its code, its value, and what follows. None where there is none that is whole.
+fn first_parameter(bytes: &[u8]) -> Option<(u8, &[u8], &[u8])> {
+    let [code, a, b, rest @ ..] = bytes else { return None };
+    let (value, rest) = rest.split_at_checked(usize::from(u16::from_be_bytes([*a, *b])))?;
+    Some((*code, value, rest))
+}
+
+fn check_parameters(mut left: &[u8]) -> Result<(), WireError> {
+    while let Some((_, _, rest)) = first_parameter(left) {
+        left = rest;
+    }
+    match left {
+        [] => Ok(()),
+        [_, _, _, ..] => Err(WireError::Malformed("parameter longer than its message")),
+        _ => Err(WireError::Malformed("bytes after the last parameter")),
+    }
+}
+
+/// Whether a message can say of itself that it has this length.
+fn check_length(length: usize, most: usize) -> Result<(), WireError> {
+    if length + 2 > most {
+        return Err(WireError::TooLong);
+    }
+    if length < HEAD {
+        return Err(WireError::Malformed("message shorter than its head"));
+    }
+    Ok(())
+}
+
+fn call_id(head: &[u8]) -> CallId {
+    head[1..HEAD].iter().fold(0, |n, byte| n << 8 | CallId::from(*byte))
+}
+
+/// Cuts bytes into messages that are kept whole.
 pub struct Decoder {
     pub most: usize,
 }
@@ -96,26 +157,8 @@
     fn decode(&mut self, bytes: &[u8]) -> Result<Option<(Message, usize)>, WireError> {
         let [a, b, rest @ ..] = bytes else { return Ok(None) };
         let length = usize::from(u16::from_be_bytes([*a, *b]));
-        if length + 2 > self.most {
-            return Err(WireError::TooLong);
-        }
-        if length < 9 {
-            return Err(WireError::Malformed("message shorter than its head"));
-        }
+        check_length(length, self.most)?;
         let Some(body) = rest.get(..length) else { return Ok(None) };
-        let (head, mut left) = body.split_at(9);
-        let call = head[1..].iter().fold(0, |n, byte| n << 8 | CallId::from(*byte));
-        let mut message = Message::new(head[0], call);
-        while let [code, a, b, rest @ ..] = left {
-            let length = usize::from(u16::from_be_bytes([*a, *b]));
-            let value =
-                rest.get(..length).ok_or(WireError::Malformed("parameter longer than its message"))?;
-            message.parameters.push((*code, value.to_vec()));
-            left = &rest[length..];
-        }
-        match left {
-            [] => Ok(Some((message, length + 2))),
-            _ => Err(WireError::Malformed("bytes after the last parameter")),
-        }
+        Ok(Some((Message::read(body.to_vec())?, length + 2)))
     }
 }
--- a/proxy/src/isup/names.rs
+++ b/proxy/src/isup/names.rs
@@ -53,11 +53,11 @@
     /// they cannot read with all that is open on the connection, and the callers whose share and windows a
     /// bad set-up would use.
     pub fn request(&self, m: &Message, source: Source, most_units: u32) -> Result<Request, u8> {
-        let text =
-            |code| m.text(code).ok_or(if m.get(code).is_some() { CAUSE_INVALID } else { CAUSE_MISSING });
         if m.call == 0 {
             return Err(CAUSE_NO_SUCH_CALL);
         }
+        let m = SetupFields::of(m);
+        let text = |code| m.text(code);
         let class = self.class(text(CLASS)?).ok_or(CAUSE_INVALID)?;
         let tenant = match self.tenants.is_empty() {
             true => None,
@@ -97,6 +97,37 @@
     }
 }
 
+/// The fields of a set-up, found in one pass: a set-up may have thousands of others.
+struct SetupFields<'a> {
+    call: CallId,
+    values: [Option<&'a [u8]>; FIELDS],
+}
+
+/// Codes of a set-up's fields lie between [`CLASS`] and [`DESCRIPTION`].
+const FIELDS: usize = (DESCRIPTION - CLASS) as usize + 1;
+
+impl<'a> SetupFields<'a> {
+    /// The first of each code counts.
+    fn of(message: &'a Message) -> Self {
+        let mut values = [None; FIELDS];
+        for (code, value) in message.parameters() {
+            if let Some(field) = usize::from(code).checked_sub(CLASS.into()).and_then(|n| values.get_mut(n)) {
+                field.get_or_insert(value);
+            }
+        }
+        SetupFields { call: message.call, values }
+    }
+
+    fn get(&self, code: u8) -> Option<&'a [u8]> {
+        self.values[usize::from(code - CLASS)]
+    }
+
+    /// A field that has to be there, or the cause for which its set-up fails.
+    fn text(&self, code: u8) -> Result<&'a str, u8> {
+        std::str::from_utf8(self.get(code).ok_or(CAUSE_MISSING)?).map_err(|_| CAUSE_INVALID)
+    }
+}
+
 /// The names that hold now; a new configuration brings others.
 pub type SharedNames = Rc<RefCell<Rc<Names>>>;
 
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -1,5 +1,6 @@
 //! Every size, count and time of the program, in one place: filled at start and handed down.
 
+use crate::memory_budget::PoolSizes;
 use fernspan_core::Time;
 use std::time::Duration;
 
@@ -25,6 +26,8 @@
     pub open_per_caller: usize,
     /// Most circuits that a set-up may ask for.
     pub units: u32,
+    /// Bytes held for callers at most.
+    pub client_memory: PoolSizes,
     /// Connections held by callers at most.
     pub caller_conns: usize,
     /// Connections held by ENUM askers at most.
@@ -186,6 +189,7 @@
             own_queue: 16,
             copy: 100_000,
             open_per_caller: 128,
+            client_memory: PoolSizes::for_memory(memory),
             units: 64,
             // Callers hold a third by the protocol; as much again is left for servers and spare.
             caller_conns: (sockets / 2).max(8),
--- /dev/null
+++ b/proxy/src/loop_lag.rs
@@ -0,0 +1,77 @@
+//! How late the event loop is, and which connections wait for it.
+//!
+//! All connections share one thread. Where clients send more than it can read, each message waits for a turn of all the
+//! others, and callers who send little get their answers as late as those who flood. So a connection that has sent more
+//! than a share pauses after what it has sent, the longer the later the loop is; the kernel's window holds its client back.
+
+use async_io::Timer;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How often the lag is taken.
+const TICK: Duration = Duration::from_millis(10);
+/// A lag up to this is ordinary.
+const ORDINARY: Duration = Duration::from_millis(5);
+/// What a lag leaves to the next tick.
+const FADE: f64 = 0.75;
+/// A connection over its share pauses for so many times the lag, ...
+const PAUSE_OVER_LAG: u32 = 16;
+/// ... and for this at most: a message that has begun has to be whole within twice as long.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// Bytes that a connection may send in a second without a pause, in one moment, and in its first.
+const SHARE_PER_S: f64 = 64.0 * 1024.0;
+const SHARE_AT_ONCE: f64 = 16.0 * 1024.0;
+const SHARE_AT_FIRST: f64 = 2.0 * 1024.0;
+/// What reading a message costs beside its bytes, in bytes.
+const MESSAGE_COST: usize = 256;
+
+/// The lag of a thread's event loop; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct LoopLag(Rc<Cell<Duration>>);
+
+impl LoopLag {
+    /// Takes the lag for as long as the loop runs.
+    pub async fn watch(self) {
+        loop {
+            let begun = Instant::now();
+            Timer::after(TICK).await;
+            self.note(begun.elapsed().saturating_sub(TICK));
+        }
+    }
+
+    fn note(&self, lag: Duration) {
+        self.0.set(lag.max(self.0.get().mul_f64(FADE)));
+    }
+
+    /// How long a connection pauses that has sent more than its share.
+    pub fn pause(&self) -> Duration {
+        (self.0.get().saturating_sub(ORDINARY) * PAUSE_OVER_LAG).min(LONGEST_PAUSE)
+    }
+}
+
+/// What a connection has sent of its share.
+#[derive(Debug)]
+pub struct InputShare {
+    left: f64,
+    at: Instant,
+}
+
+impl InputShare {
+    /// Of a connection that opens now. Hundreds may come in one moment, each with as much as it can send.
+    pub fn new(now: Instant) -> Self {
+        InputShare { left: SHARE_AT_FIRST, at: now }
+    }
+
+    /// So many messages and bytes have come. Says whether that is more than its share.
+    pub fn take(&mut self, now: Instant, messages: usize, bytes: usize) -> bool {
+        let regained = now.saturating_duration_since(self.at).as_secs_f64() * SHARE_PER_S;
+        self.at = now;
+        let left = (self.left + regained).min(SHARE_AT_ONCE) - (bytes + messages * MESSAGE_COST) as f64;
+        self.left = left.max(-SHARE_AT_ONCE);
+        left < 0.0
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/proxy/src/net.rs
+++ b/proxy/src/net.rs
@@ -6,14 +6,17 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Stream, StreamExt, future, stream};
+use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, Stream, StreamExt, future, stream};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::future::Future;
 use std::io;
 use std::net::{TcpListener, TcpStream};
-use std::rc::Rc;
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 /// A wait of half to one and a half times `mean`. Guards servers and the command channel against hundreds of
@@ -97,12 +100,10 @@
         decoder: D,
         bytes: Vec<u8>,
         taken: usize,
-        chunk: Vec<u8>,
         begun: Option<Instant>,
         unfinished: Rc<Cell<bool>>,
     }
-    let state =
-        State { reader, decoder, bytes: Vec::new(), taken: 0, chunk: vec![0; read], begun: None, unfinished };
+    let state = State { reader, decoder, bytes: Vec::new(), taken: 0, begun: None, unfinished };
     stream::try_unfold(state, move |mut s| async move {
         loop {
             s.taken += s.decoder.blank(&s.bytes[s.taken..]);
@@ -117,19 +118,50 @@
             s.unfinished.set(!s.bytes.is_empty());
             // Guards against a peer that stops half way: what else it holds would wait for ever.
             let read = if s.bytes.is_empty() {
-                s.reader.read(&mut s.chunk).await
+                // Nothing is held for a connection that says nothing.
+                s.bytes = Vec::new();
+                read_some(&mut s.reader, &mut s.bytes, read).await
             } else {
                 let left = rest.saturating_sub(s.begun.get_or_insert_with(Instant::now).elapsed());
-                within(left, s.reader.read(&mut s.chunk)).await.ok_or(WireError::Stalled)?
+                within(left, read_some(&mut s.reader, &mut s.bytes, read)).await.ok_or(WireError::Stalled)?
             };
-            match read? {
-                0 => return Ok(None),
-                n => s.bytes.extend_from_slice(&s.chunk[..n]),
+            if read? == 0 {
+                return Ok(None);
             }
         }
     })
 }
 
+/// Bytes asked of a socket at once, at most.
+const CHUNK: usize = 16 * 1024;
+
+thread_local! {
+    /// Where reads go before their length is known: all connections share it, as none keeps anything there.
+    static SCRATCH: RefCell<Box<[u8]>> = RefCell::new(vec![0; CHUNK].into());
+}
+
+/// Waits for bytes and adds up to `most` of them. Nothing is allocated before they have come.
+///
+/// # Errors
+/// As the reader's.
+pub async fn read_some<R: AsyncRead + Unpin>(
+    reader: &mut R,
+    bytes: &mut Vec<u8>,
+    most: usize,
+) -> io::Result<usize> {
+    future::poll_fn(|context| {
+        SCRATCH.with_borrow_mut(|scratch| {
+            let chunk = &mut scratch[..most.min(CHUNK)];
+            let read = Pin::new(&mut *reader).poll_read(context, chunk);
+            if let Poll::Ready(Ok(n)) = &read {
+                bytes.extend_from_slice(&chunk[..*n]);
+            }
+            read
+        })
+    })
+    .await
+}
+
 /// Waits for a future, but no longer than `limit`.
 pub async fn within<T>(limit: Duration, work: impl Future<Output = T>) -> Option<T> {
     future::or(async { Some(work.await) }, async {
@@ -144,6 +176,30 @@
     within(limit, writer.write_all(bytes)).await.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
 }
 
+/// Tells of a socket whose owner is busy whether the other side has closed it, or its half.
+#[derive(Clone, Debug, Default)]
+pub struct HangUpProbe(Option<Weak<Async<TcpStream>>>);
+
+impl HangUpProbe {
+    /// Of this socket. One that is dropped counts as closed.
+    pub fn new(stream: &Rc<Async<TcpStream>>) -> Self {
+        HangUpProbe(Some(Rc::downgrade(stream)))
+    }
+
+    /// Whether nobody is there any more, whatever has come before and is not read yet. Never so without a socket.
+    pub fn has_hung_up(&self) -> bool {
+        self.0.as_ref().is_some_and(|socket| socket.upgrade().is_none_or(|stream| has_hung_up(&stream)))
+    }
+}
+
+/// Whether the other side has closed a connection, or its half, whatever has come before and is not read yet.
+pub fn has_hung_up(stream: &Async<TcpStream>) -> bool {
+    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+    let at_once = Timespec::default();
+    let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    poll(&mut polled, Some(&at_once)).is_ok() && polled[0].revents().intersects(ends)
+}
+
 /// What comes next on a connection.
 #[derive(Debug)]
 pub enum Next<T> {
@@ -414,7 +470,8 @@
         let slot = Rc::new(ConnectionSlot::new());
         self.tell(&slot);
         self.slots.borrow_mut().insert(number, slot.clone());
-        let served = (self.serve)(stream, number, slot);
+        // On the heap at once: a future that is moved into another one takes its room twice.
+        let served = Box::pin((self.serve)(stream, number, slot));
         let (slots, freed) = (self.slots.clone(), self.freed.0.clone());
         let task = async move {
             served.await;
--- a/proxy/src/startup.rs
+++ b/proxy/src/startup.rs
@@ -14,7 +14,9 @@
 use crate::lifecycle::{Event, Lifecycle};
 use crate::limits::Limits;
 use crate::list_event::ListEvent;
+use crate::loop_lag::LoopLag;
 use crate::management::Management;
+use crate::memory_budget::MemoryBudget;
 use crate::net::within;
 use crate::peers::network::PeerNetwork;
 use crate::reload::{self, FileRead, Reload};
@@ -282,7 +284,12 @@
     };
     executor.spawn(feed.run()).detach();
     tracing::info!("{}: serving on {}", config.name, address_of(&listener, config.listen));
+    let lag = LoopLag::default();
+    executor.spawn(lag.clone().watch()).detach();
+    let memory = Rc::new(RefCell::new(MemoryBudget::new(limits.client_memory)));
     let front = isup::front::Front {
+        memory,
+        lag: lag.clone(),
         names: names.clone(),
         figures: figures.clone(),
         limits: limits.clone(),
--- a/proxy/tests/endings/clients.rs
+++ b/proxy/tests/endings/clients.rs
@@ -1,6 +1,8 @@
 //! Clients that go on writing on an open connection, whole and in pieces, until it ends; and a server that answers them.
 
 use super::{connect, message, parameter, setup, stood};
+pub use crate::play::caller::answered;
+use crate::play::caller::{STANDS, answer};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -91,36 +93,6 @@
     stream.set_nonblocking(false)
 }
 
-/// The type of an answer.
-const STANDS: u8 = 9;
-
-/// Reads messages until one is about that call; `false` where the connection ends first.
-pub fn answered(stream: &mut TcpStream, call: u64) -> bool {
-    answer(stream, call).is_some()
-}
-
-/// The type of the next message about that call, unless the connection ends first.
-fn answer(stream: &mut TcpStream, call: u64) -> Option<u8> {
-    loop {
-        let mut length = [0; 2];
-        let read = stream.read_exact(&mut length).and_then(|()| {
-            let mut body = vec![0; usize::from(u16::from_be_bytes(length))];
-            stream.read_exact(&mut body).map(|()| body)
-        });
-        match read {
-            Ok(body) if body[1..9] == call.to_be_bytes() => return Some(body[0]),
-            Ok(_) => {}
-            Err(e) => {
-                assert!(
-                    !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
-                    "no answer in time"
-                );
-                return None;
-            }
-        }
-    }
-}
-
 /// A setup server that answers each call after a while, on every connection, until the program is gone.
 pub fn serve(mut link: TcpStream, after: Duration) -> JoinHandle<()> {
     spawn(move || {
--- a/proxy/tests/endings/mod.rs
+++ b/proxy/tests/endings/mod.rs
@@ -3,78 +3,13 @@
 pub mod clients;
 mod shutdown;
 
+pub use crate::play::caller::{connect, message, parameter, setup, setup_of_class, start, stood, until};
 use crate::play::{PATIENCE, Program, accept};
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-/// The program with one setup server, other values of these fields, and the first connection to that server.
-pub fn start(settings: &[(&str, &str)]) -> (Program, TcpStream, TcpListener) {
-    let server = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let at = server.local_addr().expect("bound");
-    let listed = format!(
-        r#"{{"id":"s1","addr":"{at}","zone":"z","kind":"k","cell":0,"state":"SERVING","started_ms":0}}"#
-    );
-    let text =
-        include_str!("../recorded/config.json").replace("SERVERS", &listed).replace("CHANNEL", "127.0.0.1:1");
-    let text = settings.iter().fold(text, |text, (from, to)| {
-        assert!(text.contains(from), "{from}");
-        text.replace(from, to)
-    });
-    let program = Program::start("PROXY_CONFIG", &text);
-    let link = accept(&server).expect("the program connects");
-    link.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-    (program, link, server)
-}
-
-pub fn connect(at: &SocketAddr) -> TcpStream {
-    let stream = TcpStream::connect(at).expect("connected");
-    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-    stream
-}
-
-pub fn parameter(code: u8, value: &[u8]) -> Vec<u8> {
-    [&[code][..], &(value.len() as u16).to_be_bytes(), value].concat()
-}
-
-pub fn message(kind: u8, call: u64, parameters: &[Vec<u8>]) -> Vec<u8> {
-    let body = [&[kind][..], &call.to_be_bytes(), &parameters.concat()].concat();
-    [&(body.len() as u16).to_be_bytes()[..], &body].concat()
-}
-
-pub fn setup(call: u64, patience: &str) -> Vec<u8> {
-    setup_of_class(call, "voice", patience)
-}
-
-pub fn setup_of_class(call: u64, class: &str, patience: &str) -> Vec<u8> {
-    let texts: [(u8, &[u8]); 6] = [
-        (16, class.as_bytes()),
-        (18, patience.as_bytes()),
-        (20, b"acme"),
-        (24, b"555"),
-        (26, b"dest:0;width:1;via:-1"),
-        (46, b"desc"),
-    ];
-    message(1, call, &texts.map(|(code, value)| parameter(code, value)))
-}
-
-/// Reads until the text is there; gives all that came.
-pub fn until(stream: &mut TcpStream, text: &str) -> String {
-    let (mut read, mut bytes) = (Vec::new(), [0; 4096]);
-    while !String::from_utf8_lossy(&read).contains(text) {
-        let n =
-            stream.read(&mut bytes).unwrap_or_else(|e| panic!("{e} before {text}: {}", read.escape_ascii()));
-        assert!(n > 0, "it closed before {text}: {}", read.escape_ascii());
-        read.extend(&bytes[..n]);
-    }
-    String::from_utf8_lossy(&read).into_owned()
-}
-
-pub fn stood(call: u64) -> String {
-    format!("SIP/2.0 200 OK\r\nCall-ID: {call:016x}\r\nCSeq: 1 INVITE\r\nContent-Length: 4\r\n\r\nback")
-}
-
 /// An answer that crosses the end of its caller's connection, and waits in the program as the caller reads nothing:
 /// nobody will ever release that call, so the program does. Guards lines against calls that stand for nobody.
 #[test]
--- a/proxy/tests/invariants.rs
+++ b/proxy/tests/invariants.rs
@@ -70,7 +70,7 @@
 
 fn setup(attempt: u32) -> Setup {
     let (number, payload) = ("555".to_owned(), b"desc"[..].into());
-    Setup { id: CALL, attempt, class: "voice".into(), number, until: 9_000_000, payload }
+    Setup { id: CALL, source: 1, attempt, class: "voice".into(), number, until: 9_000_000, payload }
 }
 
 #[test]
--- a/proxy/tests/link.rs
+++ b/proxy/tests/link.rs
@@ -19,6 +19,7 @@
 fn again(id: u64, attempt: u32) -> Setup {
     Setup {
         id,
+        source: 1,
         attempt,
         class: "voice".into(),
         number: "n".to_owned(),
--- a/proxy/tests/play/mod.rs
+++ b/proxy/tests/play/mod.rs
@@ -1,5 +1,7 @@
 //! Plays recorded byte exchanges against the program. `recorded/README.md` has the form of the files.
 
+pub mod caller;
+
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, PipeWriter, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,6 +29,8 @@
 const LATE_BELOW: f64 = 0.3;
 /// Share of errors among a server's latest answers from which it is ill, ratio: others go first.
 const ILL: f64 = 0.5;
+/// Calls from which on one that arrives is routed by itself, and the others at the next turn.
+const CROWD: usize = 64;
 
 enum Phase {
     Held(Time),
@@ -135,7 +137,15 @@
         let mut route = true;
         match event {
             Event::List(kind, entries) => self.list(kind, entries),
-            Event::Call(new) => self.arrive(new, actions),
+            Event::Call(new) => {
+                // The others were tried by the last turn, and a crowd must not cost its square.
+                route = self.calls.len() < CROWD;
+                let call = new.call;
+                self.arrive(new, actions);
+                if !route {
+                    self.route([call], actions);
+                }
+            }
             Event::Stood { call, attempt, server, elapsed } => {
                 route = false;
                 self.stood(call, attempt, server, elapsed);
@@ -436,28 +446,40 @@
         }
     }
 
-    /// Sends held calls where windows allow, worthiest first and oldest first among equals.
     fn route_held(&mut self, actions: &mut Vec<Action>) {
+        let held: Vec<CallId> =
+            self.calls.iter().filter(|(_, c)| matches!(c.phase, Phase::Held(_))).map(|(id, _)| *id).collect();
+        self.route(held, actions);
+    }
+
+    /// Sends calls that are held where windows allow, worthiest first and oldest first among equals.
+    fn route(&mut self, ids: impl IntoIterator<Item = CallId>, actions: &mut Vec<Action>) {
         let stands_at = self.now + self.delay as Time;
         let mut held: Vec<(f64, Time, CallId, bool)> = Vec::new();
         let mut done: Vec<CallId> = Vec::new();
-        for (id, call) in &self.calls {
+        for id in ids {
+            let Some(call) = self.calls.get(&id) else { continue };
             let Phase::Held(from) = call.phase else { continue };
             if self.now + MARGIN >= call.expires {
-                done.push(*id);
+                done.push(id);
             } else if self.now >= from {
                 let late = stands_at > call.claim.goal_at;
                 let value = refusal::value(&self.settings, call.class, call.claim, late);
-                held.push((value, call.claim.goal_at, *id, late));
+                held.push((value, call.claim.goal_at, id, late));
             }
         }
         for id in done {
             self.give_up(id, GiveUpReason::TooLateToTry, actions);
         }
         held.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
+        let mut any_open = self.servers.values().any(|s| self.is_open(s));
         for (_, _, id, late) in held {
-            match self.choose(id, late) {
-                Some(server) => self.start(id, server, actions),
+            let chosen = if any_open { self.choose(id, late) } else { None };
+            match chosen {
+                Some(server) => {
+                    self.start(id, server, actions);
+                    any_open = self.servers.values().any(|s| self.is_open(s));
+                }
                 // A late call that no server takes is given up on, and hears so at once.
                 None if late => {
                     let over_share = self.calls.get(&id).is_some_and(|call| call.claim.over_share);
@@ -523,18 +545,23 @@
         Some(drawn)
     }
 
-    /// Whether a server may have the call, be it next turn.
-    fn takes(&self, s: &Server, call: &Call, late: bool) -> bool {
-        let class = &self.settings.classes[call.class];
+    /// Whether a server may have any call, be it next turn.
+    fn is_open(&self, s: &Server) -> bool {
         s.ready
             && (s.down.is_none() || s.out.is_empty())
             && self.now >= s.skip_until
-            && s.free.is_none_or(|free| free >= call.units)
             && s.room >= 1.0
+            && s.window.credit >= 1.0
+    }
+
+    /// Whether a server may have the call, be it next turn.
+    fn takes(&self, s: &Server, call: &Call, late: bool) -> bool {
+        let class = &self.settings.classes[call.class];
+        self.is_open(s)
+            && s.free.is_none_or(|free| free >= call.units)
             && self.settings.own_place != Some(s.place)
             && class.places.as_ref().is_none_or(|p| p.contains(&s.place))
             && self.may_resend(s, call, class)
-            && s.window.credit >= 1.0
             && !(late && (s.occup >= LATE_BELOW || self.room.occupancy() >= MIN_OCCUP))
     }
 
