Hand over releases that wait for their callers, and send no id twice

Cause: what is owed for an id was kept by connection and by process, and forgotten at a close. The other process took the server's repeated release for one that had been told; set-ups were not looked up among the calls that had ended; a new process took clients before it had the account of the old one.

Change: releases that wait are copied to the other processes until one tells the caller; the greeting follows the account; a process that ends waits for its last words; ids that may have run, here or there, fail and are not sent. The words between processes stay as they were.

--- a/proxy/src/engine.rs
+++ b/proxy/src/engine.rs
@@ -7,11 +7,12 @@
 use crate::classes::ClassTable;
 use crate::limits::Limits;
 use crate::reasons::{AnswerReason, Note, WithholdReason};
+use crate::remembered_calls::RememberedCalls;
 use fernspan_core::{
     Action, CallId, Class, Controller, Entry, Event, ListKind, NewCall, Outcome, Place, Reason, Report,
     ServerId, State, Time,
 };
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
 /// What a call carries and the engine never looks into.
@@ -229,6 +230,16 @@
     },
 }
 
+impl Stage {
+    /// Whether a server may have run the call.
+    fn may_have_run(&self) -> bool {
+        match self {
+            Stage::Open { out, may_have_run, .. } => out.is_some() || *may_have_run,
+            Stage::Stands { .. } => true,
+        }
+    }
+}
+
 struct Call {
     source: Source,
     class: usize,
@@ -237,28 +248,6 @@
     stage: Stage,
 }
 
-/// The ids of calls that have ended here, the oldest forgotten first.
-struct Ended {
-    ids: HashSet<CallId>,
-    order: VecDeque<CallId>,
-    most: usize,
-}
-
-impl Ended {
-    fn add(&mut self, id: CallId) -> bool {
-        if !self.ids.insert(id) {
-            return false;
-        }
-        self.order.push_back(id);
-        if self.order.len() > self.most
-            && let Some(old) = self.order.pop_front()
-        {
-            self.ids.remove(&old);
-        }
-        true
-    }
-}
-
 /// One controller, its calls and its rules.
 pub struct Engine {
     controller: Controller,
@@ -271,7 +260,9 @@
     most_open: usize,
     now: Time,
     calls: HashMap<CallId, Call>,
-    ended: Ended,
+    ended: RememberedCalls,
+    /// Calls of those that may have run at a server.
+    ran: RememberedCalls,
     timers: BTreeSet<(Time, u64)>,
     deadlines: BTreeSet<(Time, CallId)>,
     servers: BTreeMap<ServerId, (State, Option<Time>)>,
@@ -291,7 +282,8 @@
             controller: Controller::new(settings, seed),
             now: 0,
             calls: HashMap::new(),
-            ended: Ended { ids: HashSet::new(), order: VecDeque::new(), most: limits.remembered },
+            ended: RememberedCalls::new(limits.remembered),
+            ran: RememberedCalls::new(limits.remembered),
             timers: BTreeSet::new(),
             deadlines: BTreeSet::new(),
             servers: BTreeMap::new(),
@@ -347,7 +339,7 @@
 
     /// Whether this process has the call, or had it.
     pub fn knows(&self, id: CallId) -> bool {
-        self.calls.contains_key(&id) || self.ended.ids.contains(&id)
+        self.calls.contains_key(&id) || self.ended.contains(id)
     }
 
     /// What became of the calls of this process: first those that are open or stand, then the latest that have ended.
@@ -356,7 +348,7 @@
             Stage::Open { .. } => (*id, Progress::Open),
             Stage::Stands { server, .. } => (*id, Progress::Stands(server)),
         });
-        known.chain(self.ended.order.iter().rev().map(|id| (*id, Progress::Ended)))
+        known.chain(self.ended.latest().map(|id| (id, Progress::Ended)))
     }
 
     /// Takes over a call that stood at another process of this proxy, which is gone.
@@ -418,7 +410,7 @@
                     out.extend(stands.map(|source| Output::Reply(Some(source), id, Reply::Heard)));
                 }
                 // Its own release has crossed the call's end, or nobody knows it.
-                None if self.ended.ids.contains(&id) => {}
+                None if self.ended.contains(id) => {}
                 None => out.push(Output::Reply(Some(source), id, Reply::Unknown)),
             },
             Input::Unheard(id) => self.left(id, out),
@@ -456,6 +448,12 @@
             out.push(Output::Reply(Some(r.source), r.id, Reply::Failed));
             return;
         }
+        // Guards against a call that runs twice: its caller has left, and comes again on another connection.
+        if self.ran.contains(r.id) {
+            out.push(Output::Note(Note::Failed { call: r.id, reason: AnswerReason::IdUsed }));
+            out.push(Output::Reply(Some(r.source), r.id, Reply::Failed));
+            return;
+        }
         // Guards against a queue without bounds in front of slow servers.
         if self.open() >= self.most_open {
             self.ended.add(r.id);
@@ -504,11 +502,20 @@
         }
     }
 
+    /// Takes a call that has ended off the table, and remembers it.
+    fn remove(&mut self, id: CallId) -> Option<Call> {
+        let call = self.calls.remove(&id)?;
+        self.ended.add(id);
+        if call.stage.may_have_run() {
+            self.ran.add(id);
+        }
+        Some(call)
+    }
+
     /// Takes a call whose caller has left off the table, with what is to be told to the controller. What it leaves behind at
     /// a server is given up or released.
     fn take_off(&mut self, id: CallId, out: &mut Vec<Output>) -> Option<Event> {
-        let call = self.calls.remove(&id)?;
-        self.ended.add(id);
+        let call = self.remove(id)?;
         out.push(Output::Progress(id, Progress::Ended));
         match call.stage {
             Stage::Open { deadline, out: attempt, .. } => {
@@ -583,8 +590,7 @@
         match self.calls.get_mut(&id).map(|c| (c.source, &mut c.stage)) {
             Some((source, Stage::Stands { attempt, server: at, .. })) if *at == server => {
                 let event = finished(id, *attempt, server, outcome, report);
-                self.calls.remove(&id);
-                self.ended.add(id);
+                self.remove(id);
                 out.push(Output::Reply(Some(source), id, Reply::Over(cause)));
                 out.push(Output::Progress(id, Progress::Ended));
                 self.tell(event, out);
@@ -593,12 +599,14 @@
             // had its time, and stands for a caller after it is over.
             Some((_, Stage::Open { out: attempt, .. })) if attempt.is_some_and(|(_, at, _)| at == server) => {
                 let Some((n, ..)) = attempt.take() else { return };
+                self.ran.add(id);
                 self.answer(id, Reply::Failed, AnswerReason::ReleasedByServer, out);
                 self.tell(finished(id, n, server, outcome, report), out);
             }
             Some(_) => {}
             None => {
                 let news = self.ended.add(id);
+                self.ran.add(id);
                 out.push(Output::PassOn { server, id, cause, news });
                 return;
             }
@@ -716,8 +724,7 @@
             _ => Note::Failed { call: id, reason },
         }));
         out.push(Output::Reply(Some(*source), id, reply));
-        self.calls.remove(&id);
-        self.ended.add(id);
+        self.remove(id);
         out.push(Output::Progress(id, Progress::Ended));
     }
 
--- a/proxy/src/hub.rs
+++ b/proxy/src/hub.rs
@@ -13,12 +13,13 @@
 use crate::memory_budget::ConnectionMemory;
 use crate::net::HangUpProbe;
 use crate::peers::calls::{PeerCalls, Whereabouts};
-use crate::peers::message::PeerMessage;
-use crate::peers::{PeerEvent, PeerId};
+use crate::peers::{PeerEvent, PeerId, PeerSender};
+use crate::reasons::{AnswerReason, Note};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use fernspan_core::{CallId, Entry, ListKind, Outcome, ServerId, Settings, State, Time};
 use futures_lite::future;
+use releases::{WaitingRelease, WaitingReleases};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
@@ -110,15 +111,14 @@
     next: ServerId,
     links: BTreeMap<ServerId, Link>,
     callers: HashMap<Source, Caller>,
-    /// Releases that wait for a caller's connection, with the server that is to hear that they were heard.
-    undelivered: VecDeque<(Option<ServerId>, (CallId, Reply))>,
+    releases: WaitingReleases,
     lifecycle: SharedLifecycle,
     figures: Figures,
     /// When the load is reported next.
     load_due: Time,
     guard: Guard,
     /// Other processes of this proxy, and their calls.
-    peers: BTreeMap<PeerId, Sender<PeerMessage>>,
+    peers: BTreeMap<PeerId, PeerSender>,
     peer_calls: PeerCalls,
 }
 
@@ -133,6 +133,7 @@
         violations: Violations,
     ) -> Self {
         let peer_calls = PeerCalls::new(limits.remembered);
+        let releases = WaitingReleases::new(limits.undelivered);
         Core {
             guard: Guard::new(engine.attempt_rules(), violations),
             engine,
@@ -143,7 +144,7 @@
             next: 0,
             links: BTreeMap::new(),
             callers: HashMap::new(),
-            undelivered: VecDeque::new(),
+            releases,
             lifecycle,
             figures,
             load_due: 0,
@@ -174,6 +175,12 @@
                 Some(Message::Input(Input::Left(id, source))) if self.has_hung_up_elsewhere(id) => {
                     out.push(Output::Reply(Some(source), id, Reply::Heard));
                 }
+                Some(Message::Input(Input::Call(request))) if self.is_known_elsewhere(request.id) => {
+                    let (id, source) = (request.id, request.source);
+                    self.guard.hears(now, &Input::Call(request));
+                    out.push(Output::Note(Note::Failed { call: id, reason: AnswerReason::IdUsed }));
+                    out.push(Output::Reply(Some(source), id, Reply::Failed));
+                }
                 Some(Message::Input(input)) => {
                     if let Input::SourceGone(source) = input {
                         self.callers.remove(&source);
@@ -181,7 +188,10 @@
                     self.handle(now, input, &mut out);
                 }
                 Some(Message::Open(source, connection)) => self.caller_opened(now, source, connection),
-                Some(Message::Undelivered(id, reply)) => out.push(Output::Reply(None, id, reply)),
+                Some(Message::Undelivered(id, reply)) => {
+                    self.releases.note_unheard(id);
+                    out.push(Output::Reply(None, id, reply));
+                }
                 Some(Message::List(kind, servers)) => self.list(now, kind, servers, &mut out),
                 Some(Message::Settings(new, done)) => self.reconfigure(*new, &done),
                 Some(Message::Peer(event)) => self.peer_event(now, event, &mut out),
@@ -200,7 +210,7 @@
                 future::yield_now().await;
             }
             if callers_gone && self.engine.open() == 0 && messages.is_empty() {
-                return;
+                return self.peers_hear_all().await;
             }
         }
     }
@@ -228,16 +238,14 @@
     }
 
     fn caller_opened(&mut self, now: Time, source: Source, connection: CallerConnection) {
+        self.callers.insert(source, Caller { connection, served: 0 });
+        let waiting: Vec<WaitingRelease> = self.releases.iter().copied().collect();
         let mut passed_on = Vec::new();
-        while let Some((server, reply)) = self.undelivered.pop_front() {
-            let id = reply.0;
-            if let Err(back) = connection.replies.try_send(reply) {
-                self.undelivered.push_front((server, back.into_inner()));
-                break;
+        for WaitingRelease { call, cause, server } in waiting {
+            if self.deliver(None, call, Reply::Over(cause)).is_ok() {
+                passed_on.extend(server.map(|server| Output::Order(server, Order::Heard(call))));
             }
-            passed_on.extend(server.map(|server| Output::Order(server, Order::Heard(id))));
         }
-        self.callers.insert(source, Caller { connection, served: 0 });
         self.carry_out(now, passed_on);
     }
 
@@ -361,7 +369,7 @@
             // Its caller was told, or has given it up: it is told nothing more.
             Whereabouts::Ended => true,
             Whereabouts::Unknown if news => self.reply(None, Some(server), id, Reply::Over(cause)),
-            Whereabouts::Unknown => !self.undelivered.iter().any(|(_, (waiting, _))| *waiting == id),
+            Whereabouts::Unknown => !self.releases.waits(id),
         }
     }
 
@@ -370,11 +378,9 @@
     fn reply(&mut self, source: Option<Source>, server: Option<ServerId>, id: CallId, reply: Reply) -> bool {
         let Err(reply) = self.deliver(source, id, reply) else { return true };
         let Reply::Over(cause) = reply else { return false };
-        if self.pass_on_elsewhere(id, cause) {
-            return true;
-        }
-        self.keep_release(server, id, cause);
-        false
+        // Another process may be where its caller comes to, and this one as well if that one ends before.
+        self.releases.keep(WaitingRelease { call: id, cause, server });
+        self.pass_on_elsewhere(id, cause)
     }
 
     /// Puts a reply into the queue of its caller's connection, or a release into that of any. Gives it back where there is
@@ -396,23 +402,23 @@
             let other = matches!(reply, Reply::Unknown | Reply::Heard);
             let replies = &caller.connection.replies;
             if !(other && replies.len() >= self.limits.caller_queue) {
-                let Err(back) = replies.try_send((id, reply)) else { return Ok(()) };
+                let over = matches!(reply, Reply::Over(_));
+                let Err(back) = replies.try_send((id, reply)) else {
+                    if over && self.releases.note_told(id) {
+                        self.say_told(id);
+                    }
+                    return Ok(());
+                };
                 reply = back.into_inner().1;
             }
             self.callers.remove(&at);
         }
     }
-
-    /// Keeps a release until a caller's connection opens.
-    fn keep_release(&mut self, server: Option<ServerId>, id: CallId, cause: u8) {
-        if self.undelivered.len() < self.limits.undelivered {
-            self.undelivered.push_back((server, (id, Reply::Over(cause))));
-        }
-    }
 }
 
 mod events;
 mod peers;
+mod releases;
 
 #[cfg(test)]
 mod tests;
--- a/proxy/src/hub/peers.rs
+++ b/proxy/src/hub/peers.rs
@@ -1,11 +1,12 @@
 //! The core's part in what the processes of one proxy tell each other.
 
+use super::releases::WaitingRelease;
 use super::{Backend, Core, Link};
 use crate::engine::{Input, Order, Output, Progress, Reply};
+use crate::net::within;
 use crate::peers::calls::Whereabouts;
 use crate::peers::message::PeerMessage;
-use crate::peers::{PeerEvent, PeerId};
-use async_channel::Sender;
+use crate::peers::{PeerEvent, PeerId, PeerOutput, PeerSender};
 use fernspan_core::{CallId, ServerId, Time};
 
 impl<B: Backend> Core<B> {
@@ -18,14 +19,18 @@
         }
     }
 
-    /// Tells a new process which calls this one has.
-    fn peer_opened(&mut self, peer: PeerId, messages: Sender<PeerMessage>) {
+    /// Tells a new process which calls this one has, and which callers are still to be told that theirs are over.
+    fn peer_opened(&mut self, peer: PeerId, messages: PeerSender) {
         // What has no room is the oldest that has ended.
         for (id, progress) in self.engine.progress().take(self.limits.peer_queue / 2) {
             if let Some(message) = self.peer_message(id, progress) {
-                let _ = messages.try_send(message);
+                let _ = messages.try_send(PeerOutput::Message(message));
             }
         }
+        for WaitingRelease { call, cause, .. } in self.releases.iter() {
+            let _ = messages.try_send(PeerOutput::Message(PeerMessage::PassOn(*call, *cause)));
+        }
+        let _ = messages.try_send(PeerOutput::Greeting);
         self.peers.insert(peer, messages);
     }
 
@@ -53,16 +58,16 @@
                 }
             }
             PeerMessage::HungUp(id) if self.engine.stands(id) => self.handle(now, Input::Unheard(id), out),
+            PeerMessage::HungUp(id) => {
+                self.releases.note_told(id);
+            }
+            PeerMessage::PassOn(id, _) if self.releases.is_told(id) => self.say_told(id),
             // Kept here where there is no connection either: it does not go back and forth.
-            PeerMessage::PassOn(id, cause) => {
-                if self.deliver(None, id, Reply::Over(cause)).is_err() {
-                    self.keep_release(None, id, cause);
-                }
+            PeerMessage::PassOn(call, cause) => {
+                self.releases.keep(WaitingRelease { call, cause, server: None });
+                let _ = self.deliver(None, call, Reply::Over(cause));
             }
-            PeerMessage::Operators(_)
-            | PeerMessage::Open(_)
-            | PeerMessage::Stands(..)
-            | PeerMessage::HungUp(_) => {}
+            PeerMessage::Operators(_) | PeerMessage::Open(_) | PeerMessage::Stands(..) => {}
         }
     }
 
@@ -73,7 +78,32 @@
         }
         let Some(message) = self.peer_message(id, progress) else { return };
         // One that takes nothing any more is given up; its end is told when its connection ends.
-        self.peers.retain(|_, messages| messages.try_send(message.clone()).is_ok());
+        self.peers.retain(|_, messages| messages.try_send(PeerOutput::Message(message.clone())).is_ok());
+    }
+
+    /// Whether another process has this call, or had it: it may have run there, and its id says that it is the same.
+    pub(super) fn is_known_elsewhere(&self, id: CallId) -> bool {
+        !self.engine.knows(id) && self.peer_calls.whereabouts(id) != Whereabouts::Unknown
+    }
+
+    /// Tells the others that the caller of a call that is over has been told.
+    pub(super) fn say_told(&self, id: CallId) {
+        for peer in self.peers.keys() {
+            self.say(*peer, PeerMessage::HungUp(id));
+        }
+    }
+
+    /// Waits until the other processes have all that this one had to say, before it ends.
+    pub(super) async fn peers_hear_all(self) {
+        let written = async {
+            for messages in self.peers.values() {
+                let (told, written) = async_channel::bounded(1);
+                if messages.try_send(PeerOutput::Written(told)).is_ok() {
+                    let _ = written.recv().await;
+                }
+            }
+        };
+        within(self.limits.flush, written).await;
     }
 
     fn peer_message(&self, id: CallId, progress: Progress) -> Option<PeerMessage> {
@@ -95,9 +125,10 @@
         self.say(peer, PeerMessage::Released(id, cause, server))
     }
 
-    /// Has another process tell a caller of the end of its call, where this one has no connection. Says whether one does.
+    /// Has the other processes tell a caller of the end of its call, where this one has no connection. Says whether one
+    /// may.
     pub(super) fn pass_on_elsewhere(&self, id: CallId, cause: u8) -> bool {
-        self.peers.keys().any(|peer| self.say(*peer, PeerMessage::PassOn(id, cause)))
+        self.peers.keys().filter(|peer| self.say(**peer, PeerMessage::PassOn(id, cause))).count() > 0
     }
 
     /// Whether the call that a caller has released stands at another process, which is told then.
@@ -109,7 +140,7 @@
     }
 
     fn say(&self, peer: PeerId, message: PeerMessage) -> bool {
-        self.peers.get(&peer).is_some_and(|messages| messages.try_send(message).is_ok())
+        self.peers.get(&peer).is_some_and(|messages| messages.try_send(PeerOutput::Message(message)).is_ok())
     }
 
     fn order(&self, server: ServerId, order: Order) {
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod peers;
 pub mod reasons;
 pub mod reload;
+pub mod remembered_calls;
 pub mod signals;
 pub mod sip;
 pub mod startup;
--- a/proxy/src/peers/calls.rs
+++ b/proxy/src/peers/calls.rs
@@ -2,8 +2,9 @@
 
 use super::PeerId;
 use super::message::PeerMessage;
+use crate::remembered_calls::RememberedCalls;
 use fernspan_core::CallId;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::HashMap;
 
 /// Where a call is that this process does not have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,16 +29,13 @@
 /// What the other processes have told of their calls.
 pub struct PeerCalls {
     calls: HashMap<CallId, PeerCall>,
-    ended: HashSet<CallId>,
-    /// Ended calls, the oldest first; as many are remembered.
-    ended_order: VecDeque<CallId>,
-    remembered: usize,
+    ended: RememberedCalls,
 }
 
 impl PeerCalls {
     /// Before any process has told anything. So many ended calls are remembered.
     pub fn new(remembered: usize) -> Self {
-        PeerCalls { calls: HashMap::new(), ended: HashSet::new(), ended_order: VecDeque::new(), remembered }
+        PeerCalls { calls: HashMap::new(), ended: RememberedCalls::new(remembered) }
     }
 
     /// Takes note of what a process says of a call of its own.
@@ -49,30 +47,18 @@
             }
             PeerMessage::Ended(call) => {
                 self.calls.remove(call);
-                self.end(*call);
+                self.ended.add(*call);
             }
             _ => {}
         }
     }
 
-    fn end(&mut self, call: CallId) {
-        if !self.ended.insert(call) {
-            return;
-        }
-        self.ended_order.push_back(call);
-        if self.ended_order.len() > self.remembered
-            && let Some(oldest) = self.ended_order.pop_front()
-        {
-            self.ended.remove(&oldest);
-        }
-    }
-
     /// Where a call is.
     pub fn whereabouts(&self, call: CallId) -> Whereabouts {
         match self.calls.get(&call) {
             Some(PeerCall { peer, server: Some(_) }) => Whereabouts::StandsAt(*peer),
             Some(PeerCall { peer, server: None }) => Whereabouts::OpenAt(*peer),
-            None if self.ended.contains(&call) => Whereabouts::Ended,
+            None if self.ended.contains(call) => Whereabouts::Ended,
             None => Whereabouts::Unknown,
         }
     }
@@ -86,7 +72,9 @@
         for id in gone {
             match self.calls.remove(&id).and_then(|call| call.server) {
                 Some(server) => stood.push((id, server)),
-                None => self.end(id),
+                None => {
+                    self.ended.add(id);
+                }
             }
         }
         stood.sort_unstable();
--- a/proxy/src/peers/message.rs
+++ b/proxy/src/peers/message.rs
@@ -21,7 +21,7 @@
     Ended(CallId),
     /// The server with this id has released a call that the other process has.
     Released(CallId, u8, String),
-    /// The caller of a call that stands at the other process has released it.
+    /// The caller of this call knows that it is over: it has released the call, or was told here.
     HungUp(CallId),
     /// A call is over, and this process has no connection on which its caller could be told.
     PassOn(CallId, u8),
--- a/proxy/src/peers/mod.rs
+++ b/proxy/src/peers/mod.rs
@@ -14,11 +14,25 @@
 /// Another process, numbered by this one.
 pub type PeerId = u64;
 
+/// What the core has for another process.
+#[derive(Clone, Debug)]
+pub enum PeerOutput {
+    /// Something about a call.
+    Message(PeerMessage),
+    /// All that it has to know of what was before has been said: the greeting follows, upon which it takes clients.
+    Greeting,
+    /// All before this has been written, or never will be, once this is dropped.
+    Written(Sender<()>),
+}
+
+/// Where that goes.
+pub type PeerSender = Sender<PeerOutput>;
+
 /// What reaches the core from other processes.
 #[derive(Debug)]
 pub enum PeerEvent {
     /// Another process is there, and takes messages.
-    Opened(PeerId, Sender<PeerMessage>),
+    Opened(PeerId, PeerSender),
     /// It says something about a call.
     Said(PeerId, PeerMessage),
     /// It is gone.
--- a/proxy/src/peers/network.rs
+++ b/proxy/src/peers/network.rs
@@ -4,7 +4,7 @@
 //! to those that are there, so that any two processes have one connection.
 
 use super::message::{Lines, PeerMessage};
-use super::{PeerEvent, PeerId};
+use super::{PeerEvent, PeerId, PeerOutput};
 use crate::hub;
 use crate::lifecycle::shared::SharedLifecycle;
 use crate::lifecycle::{Event, OperatorsWord};
@@ -152,14 +152,16 @@
         }
     }
 
-    /// Writes what operators have asked for, first of all and each time that it changes, and what the core has to say.
-    async fn write(&self, stream: &Async<UnixStream>, to_write: Receiver<PeerMessage>) {
+    /// Writes what the core has to say, and what operators have asked for: as the greeting, and each time that it changes.
+    async fn write(&self, stream: &Async<UnixStream>, to_write: Receiver<PeerOutput>) {
+        let mut greeted = false;
         let mut said: Option<OperatorsWord> = None;
         loop {
             let changed = self.lifecycle.changed();
             let word = self.lifecycle.get().operators_word();
             let mut text = String::new();
-            if said != Some(word) {
+            let mut written = Vec::new();
+            if greeted && said != Some(word) {
                 said = Some(word);
                 text += &PeerMessage::Operators(word).encode();
             } else {
@@ -168,18 +170,23 @@
                     None
                 })
                 .await;
-                match next {
-                    Some(Ok(message)) => text += &message.encode(),
+                let first = match next {
+                    Some(Ok(first)) => first,
                     Some(Err(_)) => return,
                     None => continue,
-                }
-                while let Ok(message) = to_write.try_recv() {
-                    text += &message.encode();
+                };
+                for output in std::iter::once(first).chain(std::iter::from_fn(|| to_write.try_recv().ok())) {
+                    match output {
+                        PeerOutput::Message(message) => text += &message.encode(),
+                        PeerOutput::Greeting => greeted = true,
+                        PeerOutput::Written(told) => written.push(told),
+                    }
                 }
             }
             if write_all(stream, text.as_bytes(), self.limits.write).await.is_err() {
                 return;
             }
+            drop(written);
         }
     }
 }
--- a/proxy/src/reasons.rs
+++ b/proxy/src/reasons.rs
@@ -21,6 +21,8 @@
     TooManyOpen,
     /// Another call has this id.
     IdTaken,
+    /// A call with this id may have run already, here or at another process.
+    IdUsed,
     /// Its deadline has come.
     Overdue,
     /// Operators send clients away, and its connection closes.
--- a/proxy/tests/upgrade/mod.rs
+++ b/proxy/tests/upgrade/mod.rs
@@ -1,5 +1,6 @@
 //! A process that starts beside the one it replaces, on a listening socket that the platform holds for both.
 
+mod handover;
 mod peers;
 
 use crate::play::{PATIENCE, Program, accept, program, program_with_descriptor_4};
--- a/proxy/tests/upgrade/peers.rs
+++ b/proxy/tests/upgrade/peers.rs
@@ -9,7 +9,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-const CALL: u64 = 0x51;
+pub const CALL: u64 = 0x51;
 
 /// What one process says reaches the other within this.
 const TOLD: Duration = Duration::from_secs(1);
@@ -75,23 +75,23 @@
 }
 
 /// A setup server with a connection of each process, and a client of each.
-struct Upgrade {
-    platform: Platform,
+pub struct Upgrade {
+    pub platform: Platform,
     _server: TcpListener,
-    old: Program,
+    pub old: Program,
     _new: Program,
-    old_link: TcpStream,
-    new_link: TcpStream,
-    old_client: TcpStream,
-    new_client: TcpStream,
+    pub old_link: TcpStream,
+    pub new_link: TcpStream,
+    pub old_client: TcpStream,
+    pub new_client: TcpStream,
 }
 
-fn signal(program: &Program, signal: &str) {
+pub fn signal(program: &Program, signal: &str) {
     let id = program.child.id().to_string();
     Command::new("kill").args([signal, &id]).status().expect("kill runs");
 }
 
-fn accept_link(server: &TcpListener) -> TcpStream {
+pub fn accept_link(server: &TcpListener) -> TcpStream {
     let link = accept(server).expect("the program connects");
     link.set_read_timeout(Some(PATIENCE)).expect("a time-out");
     link
@@ -99,7 +99,7 @@
 
 impl Upgrade {
     /// The old process has a set-up open; then the new one starts beside it.
-    fn with_a_call_at_the_old_process(stands: bool) -> Upgrade {
+    pub fn with_a_call_at_the_old_process(stands: bool) -> Upgrade {
         let server = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let at = server.local_addr().expect("bound");
         let platform = Platform::with_servers(format!(
@@ -136,11 +136,11 @@
     assert_eq!(answer, TEST_PASSED);
 }
 
-fn release() -> Vec<u8> {
+pub fn release() -> Vec<u8> {
     message(12, CALL, &[parameter(44, &[16])])
 }
 
-fn bye() -> String {
+pub fn bye() -> String {
     format!(
         "BYE sip:x@net SIP/2.0\r\nCall-ID: {CALL:016x}\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=16\r\n\
          Content-Length: 0\r\n\r\n"
--- a/rig/src/wire/tests.rs
+++ b/rig/src/wire/tests.rs
@@ -13,6 +13,7 @@
 #[test]
 fn what_a_proxy_writes_is_read_as_it_was_meant_in_any_pieces() {
     let setup = engine::Setup {
+        source: 1,
         id: 0xab,
         attempt: 1,
         class: CLASS.into(),
