Give calls at a vanished server up in time, whatever set-ups are open there

Cause: a look for life found no room for a connection and wrote now in the place of the server's last sign of life, every two seconds.

Change: signs of life alone move that time; calls are given up 7.2 s after it, and 3.5 s after it the quietest connection makes room for the look.

--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -66,13 +66,18 @@
     pub probe: Time,
     /// With calls standing at a server that says nothing for so long, a new connection shows whether it lives.
     pub silent: Time,
+    /// The same where each connection that there may be has set-ups open: the quietest is given up for the new one.
+    pub forced_look: Time,
+    /// A timer that fires later than this was held up by a standstill of the process.
+    pub stall: Time,
     /// A server that cannot be reached for so long has vanished, and its calls with it.
     pub vanished: Time,
     /// The same where it will tell whether its calls are gone, from its last word. What stood is released within 8 s
     /// of its end: this, a connect and what may come late stay under that.
     pub gone: Time,
     /// A server that refuses connections, and has said nothing for so long on those that it has, is gone with what
-    /// stands there. As late as the release may be, since one that drains may have nothing to say.
+    /// stands there; and one that has given no sign of life for so long. As late as the release may be, since one that
+    /// drains may have nothing to say.
     pub mute: Time,
     /// Wait before a server is connected to again, on average.
     pub reconnect: Duration,
@@ -210,6 +215,8 @@
             quiet: 500_000,
             probe: 500_000,
             silent: 2_000_000,
+            forced_look: 3_500_000,
+            stall: 300_000,
             vanished: 2_000_000,
             gone: 6_000_000,
             mute: 7_200_000,
--- a/proxy/src/sip/state.rs
+++ b/proxy/src/sip/state.rs
@@ -101,8 +101,10 @@
     connect_at: Option<Time>,
     /// No further connection is opened before: the server has none left.
     more_at: Time,
-    /// When the server last gave any sign of life.
+    /// When the server last gave any sign of life: a word, a connection that came up, or a refusal of one.
     heard: Time,
+    /// This process stood still, and hears again what has come from then on.
+    hears_from: Time,
     /// Since when it cannot be reached.
     unreached: Option<Time>,
     /// When the server last said something, and how many of its lines were in use as it last told.
@@ -139,6 +141,7 @@
             connect_at: Some(now),
             more_at: 0,
             heard: now,
+            hears_from: 0,
             unreached: None,
             word: now,
             busy: 0.0,
@@ -174,7 +177,21 @@
     pub fn next_timeout(&self) -> Option<Time> {
         let held = self.held.front().map(|h| h.0);
         let probe = self.probe.as_ref().map(|p| p.until);
-        held.into_iter().chain(probe).chain(self.connect_due()).min()
+        held.into_iter().chain(probe).chain(self.connect_due()).chain(self.calls_given_up_at()).min()
+    }
+
+    /// When what stands here is given up for want of any sign of life. Its end may be as long ago as the last one, and its
+    /// caller is told in time from then: nothing that happens meanwhile moves this later, but a standstill of this
+    /// process, in which it heard nobody.
+    fn calls_given_up_at(&self) -> Option<Time> {
+        let due = self.heard + self.shared.limits.mute;
+        Some(due.max(self.hears_from)).filter(|_| !self.standing.is_empty())
+    }
+
+    /// Whether there are as many connections as there may be, with a set-up open on each.
+    fn is_full_and_busy(&self) -> bool {
+        let busy: BTreeSet<u64> = self.setups.values().map(|o| o.conn).collect();
+        self.conns.len() >= self.shared.limits.server_conns && self.conns.keys().all(|id| busy.contains(id))
     }
 
     /// When to connect: after a loss, or to see whether a silent server lives.
@@ -187,6 +204,11 @@
         let limits = &self.shared.limits;
         let (silent, mute) = (self.heard + limits.silent, self.word + limits.mute);
         let silent = if self.heard < mute { silent.min(mute) } else { silent };
+        // Set-ups that are open everywhere end by their own deadlines first, unless these are too late.
+        let silent = match self.is_full_and_busy() {
+            true => silent.max(self.heard + limits.forced_look),
+            false => silent,
+        };
         let silent = Some(silent).filter(|_| !self.standing.is_empty());
         // Guards against a look at a silent server that fails at once and is taken again at once: after a
         // failure the next one is due at its own time, however long the silence.
@@ -203,31 +225,44 @@
         if self.probe.take_if(|p| p.until <= now).is_some() {
             inputs.push(self.probed(false, None));
         }
+        if let Some(due) = self.calls_given_up_at().filter(|at| *at <= now) {
+            if now > due + self.shared.limits.stall {
+                self.hears_from = now + self.shared.limits.stall;
+            } else {
+                inputs.extend(self.died());
+            }
+        }
         if self.connect_due().is_some_and(|at| at <= now) {
-            self.look_for_life();
+            inputs.extend(self.look_for_life());
         }
         inputs
     }
 
-    fn look_for_life(&mut self) {
+    /// The server is gone, and what stood there with it.
+    fn died(&mut self) -> Vec<Input> {
+        let open: Vec<u64> = self.conns.keys().copied().collect();
+        let mut inputs: Vec<Input> = open.into_iter().flat_map(|conn| self.lose(conn)).collect();
+        self.standing.clear();
+        self.connect_at = Some(self.again());
+        inputs.push(Input::Died(self.server));
+        inputs
+    }
+
+    fn look_for_life(&mut self) -> Vec<Input> {
         self.connect_at = None;
         let limits = &self.shared.limits;
         let silent = self.now >= (self.heard + limits.silent).min(self.word + limits.mute);
         self.looking = silent && !self.standing.is_empty();
-        let busy: BTreeSet<u64> = self.setups.values().map(|o| o.conn).collect();
+        let mut inputs = Vec::new();
         if self.conns.len() >= self.shared.limits.server_conns {
-            match self.conns.keys().copied().find(|id| !busy.contains(id)) {
-                Some(idle) => {
-                    self.close(idle);
-                }
-                // All have set-ups open: these end by their own deadlines first.
-                None => {
-                    self.heard = self.now;
-                    return;
-                }
-            }
+            let busy: BTreeSet<u64> = self.setups.values().map(|o| o.conn).collect();
+            let quietest = self.conns.iter().min_by_key(|(id, c)| (busy.contains(id), c.heard));
+            inputs.extend(
+                quietest.map(|(id, _)| *id).into_iter().flat_map(|conn| self.lose(conn)).collect::<Vec<_>>(),
+            );
         }
         self.connect();
+        inputs
     }
 
     /// Takes an order of the core.
@@ -560,11 +595,7 @@
                 // there with it.
                 let dead = refused && (self.conns.is_empty() || open);
                 if dead || now >= self.gone_from(since) {
-                    let open: Vec<u64> = self.conns.keys().copied().collect();
-                    inputs.extend(open.into_iter().flat_map(|c| self.lose(c)).collect::<Vec<_>>());
-                    self.standing.clear();
-                    self.connect_at = Some(self.again());
-                    inputs.push(Input::Died(self.server));
+                    inputs.extend(self.died());
                 }
                 inputs
             }
