--- a/proxy/tests/link.rs
+++ b/proxy/tests/link.rs
@@ -274,7 +274,7 @@
         while died_at.is_none() && host.now < from + 12 * S {
             let open = host.connects.len();
             let mut said = host.look(S / 100);
-            if host.now / (S / 10) % 2 == 0 {
+            if (host.now / (S / 10)).is_multiple_of(2) {
                 id += 1;
                 said.extend(host.order(Order::Start(setup(id))));
                 if id > 100 + patience * 5 {
