Send nothing on for a client that has left, whatever lies unread before its close

Cause: a close is read behind all bytes before it, and 16 KiB were looked at together; what waited in the core for a window was sent before the connection's end was read.

Messages other than set-ups are kept as kind and id.

--- a/proxy/src/isup/front.rs
+++ b/proxy/src/isup/front.rs
@@ -25,6 +25,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// How much of one connection is looked at together, so that set-ups which are given up further on are not sent.
+struct LookAhead {
+    bytes: usize,
+    messages: usize,
+}
+
 /// Messages of one connection that are taken in the turn of another.
 const MESSAGES_IN_A_TURN: usize = 16;
 
@@ -215,6 +221,7 @@
         loop {
             let mut next = slot.next(&mut messages, &self.limits).await;
             let (mut batch, mut held) = (Vec::new(), 0);
+            let look_ahead = self.look_ahead();
             let mut end = loop {
                 match next {
                     Next::Message(received) => {
@@ -232,7 +239,7 @@
                         });
                     }
                 }
-                if held >= self.limits.message {
+                if held >= look_ahead.bytes || batch.len() >= look_ahead.messages {
                     break None;
                 }
                 slot.used(true);
@@ -287,6 +294,19 @@
         }
     }
 
+    /// How much of a connection is looked at together now.
+    fn look_ahead(&self) -> LookAhead {
+        if self.lag.stood_still() {
+            // Its client may have left meanwhile: its close comes behind all that it had written.
+            LookAhead { bytes: 1 << 20, messages: 256 }
+        } else if self.lag.is_late() {
+            // Guards the others: each of them waits for what all connections have to say.
+            LookAhead { bytes: self.limits.message / 4, messages: MESSAGES_IN_A_TURN }
+        } else {
+            LookAhead { bytes: self.limits.message, messages: 256 }
+        }
+    }
+
     /// What a message asks for.
     fn input(
         &self,
--- a/proxy/src/isup/reader.rs
+++ b/proxy/src/isup/reader.rs
@@ -1,7 +1,7 @@
 //! Cuts the bytes of a caller's connection into messages, with room reserved for each set-up at its head.
 //!
 //! A set-up that there is no room for is read to its end and not kept: all that its refusal takes is its id. Of other
-//! messages nothing is needed but kind and id either, once they are long.
+//! messages nothing is needed but kind and id either.
 
 use super::{HEAD, Message, SETUP, call_id, check_length};
 use crate::memory_budget::{ConnectionMemory, Reservation};
@@ -14,17 +14,15 @@
 
 /// Bytes of a connection's input that are kept until they are looked at.
 const INPUT: usize = 4_096;
-/// A message other than a set-up is kept up to this length.
-const KEPT_LENGTH: usize = 2_048;
 
 /// A message as it has come.
 #[derive(Debug)]
 pub struct Received {
-    /// Without its parameters where it was not kept.
+    /// With its parameters if it is a set-up that there is room for.
     pub message: Message,
     /// Bytes that it took on the wire.
     pub length: usize,
-    /// What is held for a set-up; none where there was no room for it.
+    /// What is held for such a set-up.
     pub reservation: Option<Reservation>,
 }
 
@@ -44,7 +42,7 @@
 
 /// A message that has begun.
 enum Partial {
-    Kept { body: Vec<u8>, length: usize, reservation: Option<Reservation> },
+    Kept { body: Vec<u8>, length: usize, reservation: Reservation },
     Skipped { kind: u8, call: CallId, length: usize, left: usize, parameters: ParameterCheck },
 }
 
@@ -118,13 +116,12 @@
         let Some(head) = rest.get(..HEAD) else { return Ok(false) };
         let (kind, call) = (head[0], call_id(head));
         let reservation = if kind == SETUP { self.memory.reserve_setup(length) } else { None };
-        let kept = if kind == SETUP { reservation.is_some() } else { length <= KEPT_LENGTH };
-        self.partial = Some(match kept {
-            true => {
+        self.partial = Some(match reservation {
+            Some(reservation) => {
                 self.taken += LENGTH;
                 Partial::Kept { body: Vec::with_capacity(length), length, reservation }
             }
-            false => {
+            None => {
                 self.taken += LENGTH + HEAD;
                 let parameters = ParameterCheck::default();
                 Partial::Skipped { kind, call, length, left: length - HEAD, parameters }
@@ -156,7 +153,7 @@
             None => Ok(None),
             Some(Partial::Kept { body, length, reservation }) => {
                 let message = Message::read(body)?;
-                Ok(Some(Received { message, length: length + LENGTH, reservation }))
+                Ok(Some(Received { message, length: length + LENGTH, reservation: Some(reservation) }))
             }
             Some(Partial::Skipped { kind, call, length, .. }) => {
                 let message = Message::new(kind, call);
--- a/proxy/src/loop_lag/tests.rs
+++ b/proxy/src/loop_lag/tests.rs
@@ -27,12 +27,27 @@
 fn a_lag_is_forgotten_in_a_moment_and_its_pause_is_bounded() {
     let lag = LoopLag::default();
     assert_eq!(lag.pause(), Duration::ZERO);
-    lag.note(Duration::from_millis(8));
+    lag.note(Duration::from_millis(8), Duration::ZERO);
     assert_eq!(lag.pause(), Duration::from_millis(48));
-    lag.note(Duration::from_secs(3));
+    lag.note(Duration::from_secs(3), Duration::ZERO);
     assert_eq!(lag.pause(), LONGEST_PAUSE);
     for _ in 0..30 {
-        lag.note(Duration::ZERO);
+        lag.note(Duration::ZERO, Duration::ZERO);
     }
     assert_eq!(lag.pause(), Duration::ZERO);
 }
+
+/// Guards a loop that has much to do against reading far ahead in each of its rounds.
+#[test]
+fn a_loop_that_is_always_late_has_not_stood_still() {
+    let lag = LoopLag::default();
+    assert!(!lag.stood_still());
+    lag.note(Duration::from_millis(450), Duration::from_millis(440));
+    assert!(!lag.stood_still() && lag.is_late());
+    let lag = LoopLag::default();
+    lag.note(Duration::from_millis(450), Duration::ZERO);
+    assert!(lag.stood_still());
+    std::thread::sleep(AFTER_STANDSTILL);
+    lag.note(Duration::from_millis(450), Duration::ZERO);
+    assert!(!lag.stood_still());
+}
--- a/proxy/tests/crowds.rs
+++ b/proxy/tests/crowds.rs
@@ -190,3 +190,45 @@
     });
     assert_within_half(most);
 }
+
+/// Guards against tests without end from clients that read no answers: what is read of them waits in the program.
+#[test]
+fn tests_whose_answers_nobody_reads_stay_within_the_memory() {
+    let most = play(&Server::with_answers(60), |mut stream, _| {
+        let begun = Instant::now();
+        let tests = message(52, 1, &[parameter(44, &[0])]).repeat(1_000);
+        let _ = stream.set_write_timeout(Some(Duration::from_secs(1)));
+        while !is_over(begun) && stream.write_all(&tests).is_ok() {}
+        sleep(Duration::from_secs(1));
+    });
+    assert_within_half(most);
+}
+
+/// Guards usual callers against one client that sends as fast as it can: set-ups under new names and numbers, releases of unknown
+/// calls, unknown types, tests and set-ups without a field, on one connection.
+#[test]
+fn one_client_at_full_speed_keeps_nobody_waiting() {
+    let most = play(&Server::with_answers(60), |mut stream, number| {
+        if number > 0 {
+            return;
+        }
+        let mut reader = stream.try_clone().expect("a second descriptor");
+        let reading = std::thread::spawn(move || while reader.read(&mut [0; 65_536]).is_ok_and(|n| n > 0) {});
+        let begun = Instant::now();
+        for n in 0.. {
+            let name = format!("name{n}");
+            let unsound =
+                message(1, id(n, 1), &[parameter(16, name.as_bytes()), parameter(20, name.as_bytes())]);
+            let release = message(12, id(n, 2), &[parameter(44, &[16])]);
+            let unknown = message(77, id(n, 3), &[]);
+            let test = message(52, id(n, 4), &[parameter(44, &[0])]);
+            let bytes = [unsound, release, unknown, test, set_up_with(id(n, 5), 20, &[])].concat();
+            if is_over(begun) || stream.write_all(&bytes).is_err() {
+                break;
+            }
+        }
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+        let _ = reading.join();
+    });
+    assert_within_half(most);
+}
--- a/proxy/tests/endings/mod.rs
+++ b/proxy/tests/endings/mod.rs
@@ -1,6 +1,7 @@
 //! Ends that cross something, against the program on real sockets: what is still owed at them is done.
 
 pub mod clients;
+mod departed;
 mod shutdown;
 
 pub use crate::play::caller::{connect, message, parameter, setup, setup_of_class, start, stood, until};
