Name the sockets of a proxy's processes so that one number is no one name

Change: the name has a random part. Measured: processes_with_one_number_find_each_other failed before.

--- a/proxy/src/peers/network.rs
+++ b/proxy/src/peers/network.rs
@@ -1,7 +1,8 @@
 //! The Unix sockets by which the processes of one proxy find each other.
 //!
-//! Each process listens in `$TMPDIR` under a name made of the clients' address and its own number, and at its start connects
-//! to those that are there, so that any two processes have one connection.
+//! Each process listens in `$TMPDIR` under a name made of the clients' address, its own number and a random one, and at its start
+//! connects to those that are there, so that any two processes have one connection. Two processes may have the same number, one
+//! after another or in namespaces of their own: neither takes the other's name.
 
 use super::message::{Lines, PeerMessage};
 use super::{PeerEvent, PeerId, PeerOutput};
@@ -58,9 +59,9 @@
     /// Listens for those to come, and connects to those that are there. Ends once each of these has said what operators have
     /// asked for, or has had its time to. A process serves without the others as well.
     pub async fn join(self: &Rc<Self>) {
-        let own = self.folder.join(format!("{}{}", self.prefix, std::process::id()));
+        let random = getrandom::u32().unwrap_or_default();
+        let own = self.folder.join(format!("{}{}-{random:08x}", self.prefix, std::process::id()));
         let there = self.others(&own);
-        let _ = std::fs::remove_file(&own);
         match Async::<UnixListener>::bind(&own) {
             Ok(listener) => {
                 let listening = self.clone().listen(listener, SocketFile(own));
@@ -190,3 +191,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
