Tell by few lines in use as well that a server's process is another one

Cause: the connection that came up counted as a sign of life, and only a server with eight lines in use before was asked for more.

Change: fewer than half as many lines in use as calls stand there for this proxy say the same.

--- a/proxy/src/sip/state.rs
+++ b/proxy/src/sip/state.rs
@@ -363,7 +363,9 @@
         let before = std::mem::replace(&mut self.busy, busy);
         let opened = self.conns.get(&conn)?.opened;
         let fresh = opened > self.word && self.now > self.word + self.shared.limits.silent;
-        if !fresh || before < TELLING || busy >= KEPT * before || self.standing.is_empty() {
+        // A process has all of its calls or none: with few, those of this proxy alone tell it.
+        let lost = before >= TELLING && busy < KEPT * before || 2.0 * busy < self.standing.len() as f64;
+        if !fresh || !lost {
             return None;
         }
         self.standing.clear();
--- a/proxy/tests/endings/mod.rs
+++ b/proxy/tests/endings/mod.rs
@@ -3,6 +3,7 @@
 pub mod clients;
 mod departed;
 mod shutdown;
+mod successor;
 
 pub use crate::play::caller::{connect, message, parameter, setup, setup_of_class, start, stood, until};
 use crate::play::{PATIENCE, Program, accept};
--- a/proxy/tests/link.rs
+++ b/proxy/tests/link.rs
@@ -182,6 +182,25 @@
     assert!(inputs.iter().any(|i| matches!(i, Input::Died(3))), "{inputs:?}");
 }
 
+/// The same with few calls: a process that comes up at the address of one that has vanished holds fewer than stand for this proxy
+/// alone. Guards their callers against waiting for a list that is down.
+#[test]
+fn a_server_that_holds_fewer_calls_than_stand_for_us_has_lost_them() {
+    for (in_use, lost) in [(0, true), (1, false), (5, false)] {
+        let mut host = Host::new();
+        host.state(99, 100);
+        let before = host.connects.len();
+        host.now += 3 * S;
+        while host.connects.len() == before {
+            host.pass(S / 100);
+        }
+        host.told(LinkEvent::Up);
+        let inputs = host.state(100 - in_use, 100);
+        let died = inputs.iter().any(|input| matches!(input, Input::Died(3)));
+        assert_eq!(died, lost, "{in_use} lines in use: {inputs:?}");
+    }
+}
+
 /// One that returns with the lines in use that there were was cut off, and its calls stand.
 #[test]
 fn a_server_that_was_cut_off_keeps_its_calls() {
