End a connection's pause as the process ends, so that what has come is answered

Read, not seen: a connection over its share may pause for a second, and the platform may kill 0.9 s after SIGTERM where deadlines are short. The pause ends with the lifecycle's change to shutting down. No test forces it.

--- a/proxy/src/isup/front.rs
+++ b/proxy/src/isup/front.rs
@@ -8,6 +8,7 @@
 use crate::figures::{AnswerKind, Figures};
 use crate::hub;
 use crate::invariant::{Invariant, Violations};
+use crate::lifecycle::State;
 use crate::lifecycle::shared::SharedLifecycle;
 use crate::limits::Limits;
 use crate::loop_lag::{InputShare, LoopLag};
@@ -16,7 +17,7 @@
 use crate::reasons::{AnswerReason, Hex};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Async;
 use fernspan_core::Time;
 use futures_lite::{AsyncReadExt, future, pin};
 use std::cell::RefCell;
@@ -287,13 +288,23 @@
             }
             paused = if over_share { self.lag.pause() } else { Duration::ZERO };
             if !paused.is_zero() {
-                Timer::after(paused).await;
+                self.pause(paused).await;
             }
             // One caller's flood must not keep the others from their turn.
             future::yield_now().await;
         }
     }
 
+    /// Waits for so long, unless the process ends: what has come is answered before it does.
+    async fn pause(&self, length: Duration) {
+        let ends = async {
+            while self.lifecycle.state() != State::ShuttingDown {
+                self.lifecycle.changed().await;
+            }
+        };
+        within(length, ends).await;
+    }
+
     /// How much of a connection is looked at together now.
     fn look_ahead(&self) -> LookAhead {
         if self.lag.stood_still() {
