Wait longer for a command channel's first word than for its next ones

Cause: the 2.2 s in which a channel has to say something held before its first word, so that each connection was given up in the queue.

Change: 4 s for the first word.

--- a/proxy/src/feed.rs
+++ b/proxy/src/feed.rs
@@ -108,7 +108,10 @@
         let lines = Lines { most: 64 * self.limits.message, zones: self.zones.clone() };
         let lines = messages(&stream, lines, self.limits.read, self.limits.feed_silence);
         pin!(lines);
-        while let Some(line) = within(self.limits.feed_silence, lines.next()).await.ok_or_else(silent)? {
+        // Closing sooner and asking again, at the end of the queue, would put a crowded channel's answer off for ever.
+        let mut patience = self.limits.feed_first_word;
+        while let Some(line) = within(patience, lines.next()).await.ok_or_else(silent)? {
+            patience = self.limits.feed_silence;
             if line.is_ok() && self.last_end.take().is_some() {
                 tracing::info!(addr = %self.addr, last = self.last, "command channel speaks again");
             }
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -90,6 +90,9 @@
     /// Silence after which the command channel is connected to again. It says something every second, and
     /// what it tells counts as told 4 s after it has stopped: this, the retry and a connect stay under that.
     pub feed_silence: Duration,
+    /// The same before the first word of a connection, which may wait in a crowd. A change counts as told 6 s after it could
+    /// be heard: this, the retry and a connect stay under that.
+    pub feed_first_word: Duration,
     /// Wait before the command channel is connected to again, on average; half as much again at most. After a break, that and a connect have 2 s.
     pub feed_retry: Duration,
     /// A connection to the command channel that is not up by then failed.
@@ -226,6 +229,7 @@
             // About as long as a burst of calls, which is when more are asked for.
             sparing: Duration::from_secs(10),
             feed_silence: Duration::from_millis(2_200),
+            feed_first_word: Duration::from_secs(4),
             feed_retry: Duration::from_millis(200),
             feed_connect: Duration::from_secs(1),
             margin: 20_000,
