Let no server's noise stop the process, and keep of its messages what is read

Of headers those are kept that are read or repeated, and 32 messages of a server wait for its link in place of 512.

Measured: noise_that_keeps_coming_gives_its_turn_up never ended before; headers_that_nobody_reads_are_not_kept. A yield after every read was tried: drain_waiting failed, as a set-up overtook an event that was written before it.

--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -15,6 +15,8 @@
     pub core_queue: usize,
     /// Set-ups that may wait for one server, or be waiting on one of its connections.
     pub link_queue: usize,
+    /// Messages of one server that may wait for its link; its connections are not read meanwhile.
+    pub link_events: usize,
     /// Replies of the core that may wait for one caller's connection before other words than final answers and releases
     /// end it, and replies of the front that may.
     pub caller_queue: usize,
@@ -193,6 +195,7 @@
             read: 16 * 1024,
             core_queue: (memory >> 15).clamp(256, 4096),
             link_queue: 512,
+            link_events: 32,
             caller_queue: 256,
             own_queue: 16,
             copy: 100_000,
--- a/proxy/src/net.rs
+++ b/proxy/src/net.rs
@@ -105,6 +105,7 @@
     }
     let state = State { reader, decoder, bytes: Vec::new(), taken: 0, begun: None, unfinished };
     stream::try_unfold(state, move |mut s| async move {
+        let mut reads = 0;
         loop {
             s.taken += s.decoder.blank(&s.bytes[s.taken..]);
             if let Some((message, used)) = s.decoder.decode(&s.bytes[s.taken..])? {
@@ -128,10 +129,19 @@
             if read? == 0 {
                 return Ok(None);
             }
+            // Guards all others against a peer whose bytes are no message and keep coming.
+            reads += 1;
+            if reads >= READS_IN_A_TURN {
+                reads = 0;
+                future::yield_now().await;
+            }
         }
     })
 }
 
+/// Reads without a whole message that one connection makes before others have their turn.
+const READS_IN_A_TURN: usize = 8;
+
 /// Bytes asked of a socket at once, at most.
 const CHUNK: usize = 16 * 1024;
 
--- a/proxy/src/net/tests.rs
+++ b/proxy/src/net/tests.rs
@@ -37,3 +37,34 @@
         assert!(future::poll_once(&mut next).await.is_none(), "it was served");
     });
 }
+
+/// Empty lines without end.
+struct Noise;
+
+impl AsyncRead for Noise {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        _: &mut std::task::Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        buffer.fill(b'\n');
+        Poll::Ready(Ok(buffer.len()))
+    }
+}
+
+/// Guards all connections against one whose bytes are no message and keep coming: it never gave its turn up.
+#[test]
+fn noise_that_keeps_coming_gives_its_turn_up() {
+    let lines = messages(Noise, crate::sip::Decoder { most: 16_384 }, 16_384, Duration::from_secs(2));
+    pin!(lines);
+    let other = async {
+        for _ in 0..10 {
+            future::yield_now().await;
+        }
+    };
+    let first = async_io::block_on(future::or(async { lines.next().await.is_some() }, async {
+        other.await;
+        false
+    }));
+    assert!(!first, "there is no message");
+}
--- a/proxy/src/sip/link.rs
+++ b/proxy/src/sip/link.rs
@@ -34,7 +34,7 @@
             tracing::warn!(server, addr, "no address");
             return;
         };
-        let (tell, told) = async_channel::bounded(limits.link_queue);
+        let (tell, told) = async_channel::bounded(limits.link_events);
         let draw = || getrandom::u32().map_or(0.5, |r| f64::from(r) / f64::from(u32::MAX));
         let host = Host {
             link: Link::new(self.shared.clone(), server, unix_now(), Box::new(draw)),
--- a/proxy/src/sip/link/tests.rs
+++ b/proxy/src/sip/link/tests.rs
@@ -85,3 +85,15 @@
     }));
     assert!(came.starts_with(b"BYE "), "{}", came.escape_ascii());
 }
+
+/// Guards the memory against messages of servers whose heads are thousands of lines.
+#[test]
+fn headers_that_nobody_reads_are_not_kept() {
+    let free = "a:b\r\n".repeat(3_000);
+    let text =
+        format!("NOTIFY sip:peer@net SIP/2.0\r\n{free}X-State: x0:3;x1:4\r\nContent-Length: 0\r\n\r\n");
+    let (message, _) =
+        Decoder { most: 16_384 }.decode(text.as_bytes()).expect("sound").expect("a whole message");
+    assert_eq!(message.headers.len(), 2);
+    assert_eq!(message.report().and_then(|report| report.lines), Some(4.0));
+}
--- a/proxy/src/sip/mod.rs
+++ b/proxy/src/sip/mod.rs
@@ -119,6 +119,24 @@
     follow_up("OPTIONS", "load", id, 1, "")
 }
 
+/// Headers that are kept: what this side reads, and what a response repeats. Any other is free, and may come by the thousand.
+const HEADERS: [&str; 12] = [
+    "Via",
+    "From",
+    "To",
+    "Call-ID",
+    "i",
+    "CSeq",
+    "Content-Length",
+    "l",
+    "Reason",
+    "X-State",
+    "X-Note",
+    "X-Delay",
+];
+/// As many of them as a message may have; of each the first counts.
+const HEADERS_MOST: usize = 64;
+
 /// Cuts the bytes of a connection into messages.
 pub struct Decoder {
     pub most: usize,
@@ -144,7 +162,10 @@
         let mut headers = Vec::new();
         for line in lines {
             let (name, value) = line.split_once(':').ok_or(WireError::Malformed("header without a colon"))?;
-            headers.push((name.trim().to_owned(), value.trim().to_owned()));
+            let name = name.trim();
+            if headers.len() < HEADERS_MOST && HEADERS.iter().any(|known| known.eq_ignore_ascii_case(name)) {
+                headers.push((name.to_owned(), value.trim().to_owned()));
+            }
         }
         let mut message = Message { start, headers, body: Vec::new() };
         let length = match message.get("Content-Length").or_else(|| message.get("l")) {
