--- a/proxy/src/figures.rs
+++ b/proxy/src/figures.rs
@@ -3,6 +3,7 @@
 //! Each count is raised where the event happens: an answer or an attempt that has been written whole, a file that has been
 //! taken or turned down.
 
+use crate::memory_budget::SharedBudget;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -52,9 +53,15 @@
     reloads_taken: Cell<u64>,
     reloads_turned_down: Cell<u64>,
     load: Cell<Load>,
+    memory: RefCell<Option<SharedBudget>>,
 }
 
 impl Figures {
+    /// What is held for callers out of this budget is reported from now on.
+    pub fn watch_memory(&self, budget: SharedBudget) {
+        *self.0.memory.borrow_mut() = Some(budget);
+    }
+
     /// These classes are reported from now on. One that is dropped later keeps its counts.
     pub fn add_class(&self, name: Rc<str>) {
         self.0.answers.borrow_mut().entry(name).or_default();
@@ -104,6 +111,9 @@
         line("concurrent", load.concurrent as u64);
         line("targets", load.targets as u64);
         line("targets_disabled", load.targets_disabled as u64);
+        if let Some(budget) = self.0.memory.borrow().as_ref() {
+            line("client_memory", budget.borrow().used() as u64);
+        }
         line("reload_success", self.0.reloads_taken.get());
         line("reload_failure", self.0.reloads_turned_down.get());
         text
--- a/proxy/src/startup.rs
+++ b/proxy/src/startup.rs
@@ -287,6 +287,7 @@
     let lag = LoopLag::default();
     executor.spawn(lag.clone().watch()).detach();
     let memory = Rc::new(RefCell::new(MemoryBudget::new(limits.client_memory)));
+    figures.watch_memory(memory.clone());
     let front = isup::front::Front {
         memory,
         lag: lag.clone(),
