--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -10,6 +10,10 @@
 mod world;
 
 fn main() {
+    std::panic::set_hook(Box::new(|info| {
+        eprintln!("{info}");
+        std::process::exit(2)
+    }));
     let name = std::env::args().nth(1).unwrap_or_default();
     let case = cases::ALL.iter().find(|(known, _)| *known == name);
     let Some((_, run)) = case else {
