Link to a server: its connections, sent releases and refusals in modules of their own

No behaviour changes: the choice of a connection, the releases without an acknowledgement and the meaning of a refusal leave sip/state.rs (785 to 716 lines) with standard names.

--- /dev/null
+++ b/proxy/src/sip/connections.rs
@@ -0,0 +1,146 @@
+//! The connections of a link to one setup server, and what each of them is worth. No I/O, no clock.
+
+use fernspan_core::Time;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+/// Number of a connection of one link. None is given twice.
+pub type ConnectionId = u64;
+
+/// Set-ups without an answer, by connection; one that is not in it has none.
+pub type OpenSetups = BTreeMap<ConnectionId, usize>;
+
+/// One connection to the server, from the order to connect until its end.
+pub struct Connection {
+    /// Whether it has come up.
+    pub up: bool,
+    /// When it came up.
+    pub opened: Time,
+    /// When the server's last word came on it, or else when it came up.
+    pub last_word: Time,
+    /// Whether the server has said anything on it.
+    pub spoken: bool,
+    /// When the first set-up went out since the last word.
+    pub asked: Option<Time>,
+}
+
+impl Connection {
+    /// Whether it has said nothing for longer than `limit` after a set-up.
+    pub fn is_quiet(&self, now: Time, limit: Time) -> bool {
+        self.asked.is_some_and(|at| now > at + limit)
+    }
+
+    /// Takes note of a message of the server.
+    pub fn heard(&mut self, now: Time) {
+        self.last_word = now;
+        self.spoken = true;
+        self.asked = None;
+    }
+}
+
+/// All connections of a link.
+#[derive(Default)]
+pub struct Connections {
+    by_id: BTreeMap<ConnectionId, Connection>,
+    latest: ConnectionId,
+}
+
+impl Connections {
+    /// Adds one that is asked for now.
+    pub fn start(&mut self) -> ConnectionId {
+        self.latest += 1;
+        let connection = Connection { up: false, opened: 0, last_word: 0, spoken: false, asked: None };
+        self.by_id.insert(self.latest, connection);
+        self.latest
+    }
+
+    /// Takes one out that has ended.
+    pub fn remove(&mut self, id: ConnectionId) -> Option<Connection> {
+        self.by_id.remove(&id)
+    }
+
+    /// The connection of this number, unless it has ended.
+    pub fn get(&self, id: ConnectionId) -> Option<&Connection> {
+        self.by_id.get(&id)
+    }
+
+    /// The same, to be changed.
+    pub fn get_mut(&mut self, id: ConnectionId) -> Option<&mut Connection> {
+        self.by_id.get_mut(&id)
+    }
+
+    /// Whether the connection has not ended.
+    pub fn contains(&self, id: ConnectionId) -> bool {
+        self.by_id.contains_key(&id)
+    }
+
+    /// Their numbers, the oldest first.
+    pub fn ids(&self) -> Vec<ConnectionId> {
+        self.by_id.keys().copied().collect()
+    }
+
+    /// How many there are, those that are not up yet included.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
+    /// Whether one is on its way up.
+    pub fn any_connecting(&self) -> bool {
+        self.by_id.values().any(|c| !c.up)
+    }
+
+    /// Whether one is up.
+    pub fn any_up(&self) -> bool {
+        self.by_id.values().any(|c| c.up)
+    }
+
+    /// The one that is up and was heard last.
+    pub fn last_heard(&self) -> Option<ConnectionId> {
+        let up = self.by_id.iter().filter(|(_, c)| c.up);
+        up.max_by_key(|(_, c)| c.last_word).map(|(id, _)| *id)
+    }
+
+    /// The one without set-ups that was heard longest ago, or of those with set-ups if each has some.
+    pub fn longest_unheard(&self, setups: &OpenSetups) -> Option<ConnectionId> {
+        self.by_id.iter().min_by_key(|(id, c)| (setups.contains_key(id), c.last_word)).map(|(id, _)| *id)
+    }
+
+    /// Whether each has a set-up open.
+    pub fn all_busy(&self, setups: &OpenSetups) -> bool {
+        self.by_id.keys().all(|id| setups.contains_key(id))
+    }
+
+    /// The one for the next set-up: that with the fewest set-ups open, and how many these are. One that has gone dead or is
+    /// about to be reset gets no more, as what it does not answer stays open on it. A server that has no connection left
+    /// takes a further one up only to close it, so a connection is not used before the server's first word, which each
+    /// begins with.
+    pub fn least_loaded(
+        &self,
+        setups: &OpenSetups,
+        now: Time,
+        quiet: Time,
+        not_on: Option<ConnectionId>,
+    ) -> Option<(ConnectionId, usize)> {
+        let spoken = self.by_id.values().any(|c| c.up && c.spoken);
+        let usable = self
+            .by_id
+            .iter()
+            .filter(|(_, c)| c.up && (c.spoken || !spoken) && !c.is_quiet(now, quiet))
+            .filter(|(id, _)| Some(**id) != not_on);
+        let open = |id: &ConnectionId| setups.get(id).copied().unwrap_or(0);
+        let least = usable.min_by_key(|(id, c)| (open(id), c.asked.is_some(), Reverse(c.last_word)));
+        least.map(|(id, _)| (*id, open(id)))
+    }
+
+    /// Those that are up, have gone quiet and have no set-up open.
+    pub fn quiet_and_free(&self, setups: &OpenSetups, now: Time, quiet: Time) -> Vec<ConnectionId> {
+        let free =
+            |id: &ConnectionId, c: &Connection| c.up && c.is_quiet(now, quiet) && !setups.contains_key(id);
+        self.by_id.iter().filter(|(id, c)| free(id, c)).map(|(id, _)| *id).collect()
+    }
+}
--- a/proxy/src/sip/mod.rs
+++ b/proxy/src/sip/mod.rs
@@ -1,6 +1,9 @@
 //! The setup servers' protocol: the part of SIP that the platform uses.
 
+mod connections;
 pub mod link;
+mod refusal;
+mod sent_releases;
 pub mod state;
 
 use crate::engine::Setup;
@@ -114,6 +117,11 @@
     .into_bytes()
 }
 
+/// Releases a call that stands, or may stand, at a server.
+pub fn bye(call: CallId, cause: u8) -> Vec<u8> {
+    follow_up("BYE", "unknown", call, 1, &format!("Reason: Q.850;cause={cause}\r\n"))
+}
+
 /// Asks a server for its load.
 pub fn probe(id: CallId) -> Vec<u8> {
     follow_up("OPTIONS", "load", id, 1, "")
--- a/proxy/src/sip/state.rs
+++ b/proxy/src/sip/state.rs
@@ -1,13 +1,15 @@
 //! The rules of the link to one setup server: a few connections, the set-ups on them, and those that wait for
 //! one. Sans I/O: the host connects, writes and closes as it is told, and says what came of it.
 
+use super::connections::{Connection, ConnectionId, Connections, OpenSetups};
+use super::refusal::refusal;
+use super::sent_releases::SentReleases;
 use super::*;
 use crate::engine::{CAUSE_NORMAL, End, Input, Order};
 use crate::limits::Limits;
 use crate::reasons::Hex;
 use fernspan_core::sites::{KEPT, TELLING};
-use fernspan_core::{Outcome, Reason, Report, ServerId, Time};
-use std::cmp::Reverse;
+use fernspan_core::{Outcome, Report, ServerId, Time};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,24 +41,6 @@
     pub limits: Limits,
 }
 
-struct Conn {
-    up: bool,
-    /// When it came up.
-    opened: Time,
-    heard: Time,
-    /// Whether the server has said anything on it.
-    spoken: bool,
-    /// When the first set-up went out since it was heard last.
-    asked: Option<Time>,
-}
-
-impl Conn {
-    /// Whether it has said nothing for too long after a set-up.
-    fn quiet(&self, now: Time, limit: Time) -> bool {
-        self.asked.is_some_and(|at| now > at + limit)
-    }
-}
-
 /// A set-up that is on a connection.
 struct Out {
     conn: u64,
@@ -78,16 +62,15 @@
     /// The time of what is being handled.
     now: Time,
     todo: Vec<LinkCommand>,
-    conns: BTreeMap<u64, Conn>,
-    next: u64,
+    connections: Connections,
     queue: VecDeque<Setup>,
     setups: BTreeMap<CallId, Out>,
     /// Calls that stand at this server.
     standing: BTreeSet<CallId>,
     /// Releases that wait for a connection.
     releases: Vec<(CallId, u8)>,
-    /// Releases that went out on a connection of late and were not heard, the oldest first.
-    unheard: VecDeque<(CallId, u8, u64, Time)>,
+    /// Releases that went out and were not acknowledged.
+    sent_releases: SentReleases,
     /// Answers to the server's releases of calls that did not stand here, with the connections that they belong on.
     unacknowledged: VecDeque<(CallId, u64, Vec<u8>)>,
     /// Calls that were refused on a connection of late, the oldest first.
@@ -120,19 +103,19 @@
 impl Link {
     /// The link to a server that has just been listed. `draw` gives numbers from 0 to 1.
     pub fn new(shared: Rc<Shared>, server: ServerId, now: Time, draw: Box<dyn FnMut() -> f64>) -> Self {
+        let sent_releases = SentReleases::new(shared.limits.heard.as_micros() as Time);
         Link {
             shared,
             server,
             draw,
             now,
             todo: Vec::new(),
-            conns: BTreeMap::new(),
-            next: 0,
+            connections: Connections::default(),
             queue: VecDeque::new(),
             setups: BTreeMap::new(),
             standing: BTreeSet::new(),
             releases: Vec::new(),
-            unheard: VecDeque::new(),
+            sent_releases,
             unacknowledged: VecDeque::new(),
             refused: VecDeque::new(),
             held: VecDeque::new(),
@@ -166,8 +149,7 @@
     /// left.
     pub fn end(&mut self) -> Vec<Input> {
         let mut inputs = self.fail_queue(Outcome::NotSent);
-        let open: Vec<u64> = self.conns.keys().copied().collect();
-        for conn in open {
+        for conn in self.connections.ids() {
             inputs.extend(self.lose(conn));
         }
         inputs
@@ -190,13 +172,24 @@
 
     /// Whether there are as many connections as there may be, with a set-up open on each.
     fn is_full_and_busy(&self) -> bool {
-        let busy: BTreeSet<u64> = self.setups.values().map(|o| o.conn).collect();
-        self.conns.len() >= self.shared.limits.server_conns && self.conns.keys().all(|id| busy.contains(id))
+        self.is_full() && self.connections.all_busy(&self.open_setups())
+    }
+
+    /// Whether there are as many connections as there may be.
+    fn is_full(&self) -> bool {
+        self.connections.len() >= self.shared.limits.server_conns
+    }
+
+    /// How many set-ups are open on each connection.
+    fn open_setups(&self) -> OpenSetups {
+        let mut open = OpenSetups::new();
+        self.setups.values().for_each(|o| *open.entry(o.conn).or_default() += 1);
+        open
     }
 
     /// When to connect: after a loss, or to see whether a silent server lives.
     fn connect_due(&self) -> Option<Time> {
-        if self.conns.values().any(|c| !c.up) {
+        if self.connections.any_connecting() {
             return None;
         }
         // Guards against a machine that has vanished with its calls: nobody else tells of it in time, and
@@ -240,8 +233,8 @@
 
     /// The server is gone, and what stood there with it.
     fn died(&mut self) -> Vec<Input> {
-        let open: Vec<u64> = self.conns.keys().copied().collect();
-        let mut inputs: Vec<Input> = open.into_iter().flat_map(|conn| self.lose(conn)).collect();
+        let mut inputs: Vec<Input> =
+            self.connections.ids().into_iter().flat_map(|conn| self.lose(conn)).collect();
         self.standing.clear();
         self.connect_at = Some(self.again());
         inputs.push(Input::Died(self.server));
@@ -254,12 +247,10 @@
         let silent = self.now >= (self.heard + limits.silent).min(self.word + limits.mute);
         self.looking = silent && !self.standing.is_empty();
         let mut inputs = Vec::new();
-        if self.conns.len() >= self.shared.limits.server_conns {
-            let busy: BTreeSet<u64> = self.setups.values().map(|o| o.conn).collect();
-            let quietest = self.conns.iter().min_by_key(|(id, c)| (busy.contains(id), c.heard));
-            inputs.extend(
-                quietest.map(|(id, _)| *id).into_iter().flat_map(|conn| self.lose(conn)).collect::<Vec<_>>(),
-            );
+        if self.is_full()
+            && let Some(conn) = self.connections.longest_unheard(&self.open_setups())
+        {
+            inputs.extend(self.lose(conn));
         }
         self.connect();
         inputs
@@ -317,7 +308,9 @@
         if self.probe.is_some() {
             return Vec::new();
         }
-        let Some(conn) = self.best().filter(|id| self.conns[id].spoken) else {
+        let Some(conn) =
+            self.connections.last_heard().filter(|id| self.connections.get(*id).is_some_and(|c| c.spoken))
+        else {
             return vec![self.probed(false, None)];
         };
         self.probes = self.probes.wrapping_add(1);
@@ -338,10 +331,10 @@
         let soon = !rest || !self.standing.is_empty();
         let mean = if soon { self.shared.limits.awake } else { self.shared.limits.resting };
         let speaks = !rest && self.now <= self.heard + self.shared.limits.quiet;
-        if self.resting != rest && !self.conns.values().any(|c| !c.up) {
+        if self.resting != rest && !self.connections.any_connecting() {
             let at = self.now + self.drawn(mean);
             let at = self.connect_at.filter(|_| !rest).map_or(at, |before| before.min(at));
-            self.connect_at = Some(at).filter(|_| !speaks || self.conns.is_empty());
+            self.connect_at = Some(at).filter(|_| !speaks || self.connections.is_empty());
         }
         self.resting = rest;
     }
@@ -361,7 +354,7 @@
         let report = message.report().filter(|_| method == "NOTIFY")?;
         let busy = report.lines? - report.free?;
         let before = std::mem::replace(&mut self.busy, busy);
-        let opened = self.conns.get(&conn)?.opened;
+        let opened = self.connections.get(conn)?.opened;
         let fresh = opened > self.word && self.now > self.word + self.shared.limits.silent;
         // A process has all of its calls or none: with few, those of this proxy alone tell it.
         let lost = before >= TELLING && busy < KEPT * before || 2.0 * busy < self.standing.len() as f64;
@@ -391,7 +384,7 @@
     /// Guards against a call that stands for ever at a server that cannot be reached now: its release goes out
     /// with the next connection.
     fn release(&mut self, call: CallId, cause: u8) {
-        match self.best() {
+        match self.connections.last_heard() {
             Some(conn) => self.release_on(conn, call, cause),
             None => self.releases.push((call, cause)),
         }
@@ -399,9 +392,7 @@
 
     fn release_on(&mut self, conn: u64, call: CallId, cause: u8) {
         self.write(conn, bye(call, cause));
-        let (now, heard) = (self.now, self.shared.limits.heard.as_micros() as Time);
-        self.unheard.retain(|u| u.3 + heard > now);
-        self.unheard.push_back((call, cause, conn, now));
+        self.sent_releases.sent(self.now, conn, call, cause);
     }
 
     /// Keeps the answer to a release of a call that did not stand here until it is passed on. Without an answer the server
@@ -413,40 +404,21 @@
         self.unacknowledged.push_back((call, conn, heard));
     }
 
-    /// The connection heard last.
-    fn best(&self) -> Option<u64> {
-        self.conns.iter().filter(|(_, c)| c.up).max_by_key(|(_, c)| c.heard).map(|(id, _)| *id)
-    }
-
-    /// The connection with the fewest set-ups open, and how many these are. Guards the others against one that
-    /// has gone dead or is about to be reset: what it does not answer stays open on it, so it gets no more. Guards
-    /// set-ups against a further connection that a server with none left takes up only to close: each begins
-    /// with the server's word, and is not used before.
+    /// The connection for a set-up of a call, and how many are open there.
     ///
     /// Not the one on which the call was refused a moment ago: a second copy of that would be taken for the answer.
-    fn least(&self, call: CallId) -> Option<(u64, usize)> {
-        let now = self.now;
-        let refused = self.refused(call).map(|r| r.1);
-        let mut open: BTreeMap<u64, usize> = BTreeMap::new();
-        self.setups.values().for_each(|o| *open.entry(o.conn).or_default() += 1);
-        let spoken = self.conns.values().any(|c| c.up && c.spoken);
-        let lives = self
-            .conns
-            .iter()
-            .filter(|(_, c)| c.up && (c.spoken || !spoken) && !c.quiet(now, self.shared.limits.quiet))
-            .filter(|(id, _)| Some(**id) != refused);
-        let open = |id: &u64| open.get(id).copied().unwrap_or(0);
-        let least = lives.min_by_key(|(id, c)| (open(id), c.asked.is_some(), Reverse(c.heard)));
-        least.map(|(id, _)| (*id, open(id)))
+    fn least_loaded(&self, call: CallId) -> Option<(ConnectionId, usize)> {
+        let not_on = self.refused(call).map(|r| r.1);
+        self.connections.least_loaded(&self.open_setups(), self.now, self.shared.limits.quiet, not_on)
     }
 
     /// Sends at once where a connection is known to live, else on the next that comes up. Where all have
     /// set-ups open, another connection is made for those to come.
     fn start(&mut self, setup: Setup) -> Vec<Input> {
         self.draining = false;
-        let connecting = self.conns.values().any(|c| !c.up);
-        let full = self.conns.len() >= self.shared.limits.server_conns;
-        match (self.least(setup.id), self.refused(setup.id)) {
+        let connecting = self.connections.any_connecting();
+        let full = self.is_full();
+        match (self.least_loaded(setup.id), self.refused(setup.id)) {
             // Guards against a call with two attempts out, as the copy would end this one before its time.
             (None, Some((_, _, at))) => {
                 self.held.push_back((at + self.shared.limits.copy, setup));
@@ -460,7 +432,7 @@
     fn refused(&self, call: CallId) -> Option<(CallId, u64, Time)> {
         let until = |r: &(CallId, u64, Time)| r.2 + self.shared.limits.copy;
         let copies =
-            |r: &&(CallId, u64, Time)| r.0 == call && self.now < until(r) && self.conns.contains_key(&r.1);
+            |r: &&(CallId, u64, Time)| r.0 == call && self.now < until(r) && self.connections.contains(r.1);
         self.refused.iter().rfind(copies).copied()
     }
 
@@ -480,7 +452,7 @@
             }
             // Quiet on all connections there may be: it has to wait its turn there.
             None if full && !connecting => {
-                if let Some(id) = self.best() {
+                if let Some(id) = self.connections.last_heard() {
                     return self.send(id, setup);
                 }
             }
@@ -497,11 +469,11 @@
         let bytes = invite(&setup, self.now);
         // Nothing is sent on for a caller that waits no more: its set-up may have waited here for a connection.
         let late = self.now >= setup.until;
-        if late || bytes.len() > self.shared.limits.message || !self.conns.contains_key(&conn) {
+        if late || bytes.len() > self.shared.limits.message || !self.connections.contains(conn) {
             return vec![self.ended(setup.id, setup.attempt, End::plain(Outcome::NotSent))];
         }
         self.todo.push(LinkCommand::Write(conn, bytes, Some(setup.id)));
-        if let Some(c) = self.conns.get_mut(&conn) {
+        if let Some(c) = self.connections.get_mut(conn) {
             c.asked.get_or_insert(self.now);
         }
         self.setups.insert(setup.id, Out { conn, attempt: setup.attempt, number: setup.number });
@@ -513,30 +485,24 @@
     }
 
     fn connect(&mut self) {
-        self.next += 1;
-        self.conns.insert(self.next, Conn { up: false, opened: 0, heard: 0, spoken: false, asked: None });
-        self.todo.push(LinkCommand::Connect(self.next));
+        let connection = self.connections.start();
+        self.todo.push(LinkCommand::Connect(connection));
     }
 
     fn write(&mut self, conn: u64, bytes: Vec<u8>) {
-        if self.conns.contains_key(&conn) {
+        if self.connections.contains(conn) {
             self.todo.push(LinkCommand::Write(conn, bytes, None));
         }
     }
 
-    fn close(&mut self, conn: u64) -> Option<Conn> {
-        let closed = self.conns.remove(&conn)?;
+    fn close(&mut self, conn: ConnectionId) -> Option<Connection> {
+        let closed = self.connections.remove(conn)?;
         self.todo.push(LinkCommand::Close(conn));
         self.unacknowledged.retain(|u| u.1 != conn);
         // Guards a call that stands for nobody against a release which met a connection that was closed already,
         // whichever side has closed it.
-        let heard = self.shared.limits.heard.as_micros() as Time;
-        let here: VecDeque<_>;
-        (here, self.unheard) = std::mem::take(&mut self.unheard).into_iter().partition(|u| u.2 == conn);
-        for (call, cause, _, at) in here {
-            if at + heard > self.now {
-                self.release(call, cause);
-            }
+        for (call, cause) in self.sent_releases.connection_ended(self.now, conn) {
+            self.release(call, cause);
         }
         Some(closed)
     }
@@ -557,11 +523,11 @@
         self.now = now;
         match told {
             LinkEvent::Up => {
-                let Some(c) = self.conns.get_mut(&conn) else { return Vec::new() };
+                let Some(c) = self.connections.get_mut(conn) else { return Vec::new() };
                 c.up = true;
                 self.looking = false;
                 c.opened = self.now;
-                c.heard = c.opened;
+                c.last_word = c.opened;
                 self.lives();
                 self.retire(conn);
                 for (call, cause) in std::mem::take(&mut self.releases) {
@@ -576,13 +542,13 @@
             LinkEvent::Failed { refused } => {
                 let mut inputs = self.lose(conn);
                 let looked = std::mem::take(&mut self.looking);
-                if !self.conns.values().any(|c| !c.up) {
+                if !self.connections.any_connecting() {
                     inputs.extend(self.fail_queue(Outcome::NoRoute));
                 }
                 let now = self.now;
                 // Guards the calls that stand at a server that drains or has no connection left: one that
                 // refuses while those it has stay open lives, as a process that dies resets them.
-                let open = self.conns.values().any(|c| c.up);
+                let open = self.connections.any_up();
                 // Unless these have gone dead: with calls standing there, a server has a word now and then. Guards
                 // their callers against a machine that is gone, but whose end no reset has told.
                 let dead = !open || looked && now >= self.word + self.shared.limits.mute;
@@ -595,7 +561,7 @@
                 self.connect_at = Some(self.again());
                 // Nobody listens any more, or nothing comes through: the process is gone, and what stood
                 // there with it.
-                let dead = refused && (self.conns.is_empty() || open);
+                let dead = refused && (self.connections.is_empty() || open);
                 if dead || now >= self.gone_from(since) {
                     inputs.extend(self.died());
                 }
@@ -604,14 +570,12 @@
             LinkEvent::Closed => self.lose(conn),
             LinkEvent::Message(message) => {
                 let mut inputs = Vec::new();
-                if let Some(c) = self.conns.get_mut(&conn) {
+                if let Some(c) = self.connections.get_mut(conn) {
                     // A silence worth telling of; after a shorter one nobody has doubts.
-                    if !c.spoken || self.now > c.heard + self.shared.limits.quiet {
+                    if !c.spoken || self.now > c.last_word + self.shared.limits.quiet {
                         inputs.push(Input::Spoke { server: self.server, fresh: !c.spoken });
                     }
-                    c.heard = self.now;
-                    c.spoken = true;
-                    c.asked = None;
+                    c.heard(self.now);
                 }
                 self.lives();
                 inputs.extend(self.started_anew(&message, conn));
@@ -634,11 +598,8 @@
 
     /// Closes older connections that have gone quiet with nothing open, once a new one is up.
     fn retire(&mut self, newest: u64) {
-        let (now, limit) = (self.now, self.shared.limits.quiet);
-        let busy: Vec<u64> = self.setups.values().map(|o| o.conn).collect();
-        let stays = |id: &u64, c: &Conn| *id == newest || !c.up || !c.quiet(now, limit) || busy.contains(id);
-        let quiet: Vec<u64> = self.conns.iter().filter(|(id, c)| !stays(id, c)).map(|(id, _)| *id).collect();
-        for id in quiet {
+        let quiet = self.connections.quiet_and_free(&self.open_setups(), self.now, self.shared.limits.quiet);
+        for id in quiet.into_iter().filter(|id| *id != newest) {
             self.close(id);
         }
     }
@@ -649,7 +610,7 @@
         if lost.as_ref().is_some_and(|c| c.up && !c.spoken) {
             self.spare();
         }
-        if self.conns.is_empty() {
+        if self.connections.is_empty() {
             // At once, since a server sends releases that it could not deliver on its next connection; but
             // guards against one that accepts only to close.
             let wait = self.drawn(self.shared.limits.reconnect);
@@ -701,7 +662,7 @@
                         answered.map(|_| self.probed(status < 300, m.report())).into_iter().collect()
                     }
                     Some((_, "BYE")) => {
-                        self.unheard.retain(|u| u.0 != call);
+                        self.sent_releases.acknowledged(call);
                         Vec::new()
                     }
                     _ => Vec::new(),
@@ -753,33 +714,3 @@
         }
     }
 }
-
-fn bye(call: CallId, cause: u8) -> Vec<u8> {
-    follow_up("BYE", "unknown", call, 1, &format!("Reason: Q.850;cause={cause}\r\n"))
-}
-
-/// What a refusal means, as the simulator's adapter reads it.
-fn refusal(status: u16, m: &Message, gives_wait: bool) -> End {
-    let outcome = match status {
-        503 => Outcome::Full,
-        480 => Outcome::NotSent,
-        504 => Outcome::Reset,
-        _ => Outcome::Fault,
-    };
-    let reason = match m.get("X-Note") {
-        Some("congestion") => Some(Reason::NoLine),
-        Some("crankback") => Some(Reason::TurnedBack),
-        Some("throttled" | "remote_throttled") => Some(Reason::ProcessorFull),
-        Some("engaged") => Some(Reason::NumberBusy),
-        _ => None,
-    };
-    let stated = m.get("X-Delay").and_then(|ms| ms.parse::<f64>().ok()).filter(|ms| *ms >= 1.0 && *ms < 1e9);
-    let wait = stated.filter(|_| gives_wait && m.get("X-Note") == Some("throttled"));
-    End {
-        outcome,
-        reason,
-        wait: wait.map(|ms| (ms * 1000.0) as Time),
-        report: m.report(),
-        status: Some(status),
-    }
-}
