Open connections for releases that were written where nobody hears them

The server says it again on the next connection that is opened after the end; the link opened none, as another connection spoke, or only at once, before the calls ended.

The link knows the connection of each call now (sip/standing_calls.rs). As long as a call stands whose connection has said nothing, or has ended, or was another process's, one is opened at intervals that follow from the 8 s (sip/release_refresh.rs, limits/releases.rs). The connection that it replaces is closed. A release of ours is said again if nothing came on its connection since, and never over a later attempt.

--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -4,6 +4,10 @@
 use fernspan_core::Time;
 use std::time::Duration;
 
+mod releases;
+
+pub use releases::ReleaseLimits;
+
 /// Times are in microseconds where the engine counts them, else spans for a timer.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -108,6 +112,8 @@
     pub remembered: usize,
     /// A release that was not heard, by a caller or a server, goes out again if its connection ends within this time.
     pub heard: Duration,
+    /// Releases that setup servers write where nobody hears them.
+    pub releases: ReleaseLimits,
     /// Releases kept for callers that have no connection open.
     pub undelivered: usize,
     /// The end of the process.
@@ -242,6 +248,7 @@
             margin: 20_000,
             remembered: (memory >> 12).clamp(1_000, 50_000),
             heard: Duration::from_millis(500),
+            releases: ReleaseLimits::for_connect(connect),
             undelivered: (memory >> 13).clamp(1_000, 10_000),
             shutdown: ShutdownLimits::for_longest_deadline(longest),
             drain: DrainLimits::default(),
--- a/proxy/src/sip/connections.rs
+++ b/proxy/src/sip/connections.rs
@@ -12,6 +12,8 @@
 
 /// One connection to the server, from the order to connect until its end.
 pub struct Connection {
+    /// When it was asked for. The server has taken it up at that time at the earliest.
+    pub started: Time,
     /// Whether it has come up.
     pub up: bool,
     /// When it came up.
@@ -22,6 +24,8 @@
     pub spoken: bool,
     /// When the first set-up went out since the last word.
     pub asked: Option<Time>,
+    /// It was opened for releases that may have been lost on another.
+    pub for_releases: bool,
 }
 
 impl Connection {
@@ -47,9 +51,17 @@
 
 impl Connections {
     /// Adds one that is asked for now.
-    pub fn start(&mut self) -> ConnectionId {
+    pub fn start(&mut self, now: Time, for_releases: bool) -> ConnectionId {
         self.latest += 1;
-        let connection = Connection { up: false, opened: 0, last_word: 0, spoken: false, asked: None };
+        let connection = Connection {
+            started: now,
+            up: false,
+            opened: 0,
+            last_word: 0,
+            spoken: false,
+            asked: None,
+            for_releases,
+        };
         self.by_id.insert(self.latest, connection);
         self.latest
     }
@@ -115,7 +127,37 @@
         self.by_id.keys().all(|id| setups.contains_key(id))
     }
 
-    /// The one for the next set-up: that with the fewest set-ups open, and how many these are. One that has gone dead or is
+    /// The one that makes room for another: without set-ups before any with some, and of these without calls that stand on it
+    /// and heard longest ago.
+    pub fn least_needed(
+        &self,
+        setups: &OpenSetups,
+        has_calls: impl Fn(ConnectionId) -> bool,
+    ) -> Option<ConnectionId> {
+        let open = |id: &ConnectionId| setups.get(id).copied().unwrap_or(0);
+        let need = |id: &ConnectionId, c: &Connection| (open(id), c.spoken && has_calls(*id), c.last_word);
+        self.by_id.iter().min_by_key(|(id, c)| need(id, c)).map(|(id, _)| *id)
+    }
+
+    /// Those without set-ups that need not be kept once `newest`, which was opened for releases, has been spoken on: their
+    /// calls stand to be told by it, as nothing has come on them for `interval`, or it takes their place.
+    pub fn replaced_by(
+        &self,
+        newest: ConnectionId,
+        setups: &OpenSetups,
+        has_calls: impl Fn(ConnectionId) -> bool,
+        interval: Time,
+    ) -> Vec<ConnectionId> {
+        let Some(started) = self.get(newest).map(|c| c.started) else { return Vec::new() };
+        let replaced = |id: &ConnectionId, c: &Connection| {
+            let unheard = c.last_word + interval <= started;
+            let spent = c.for_releases && !has_calls(*id);
+            *id != newest && c.up && !setups.contains_key(id) && (unheard || spent)
+        };
+        self.by_id.iter().filter(|(id, c)| replaced(id, c)).map(|(id, _)| *id).collect()
+    }
+
+    /// The one for the next set-up, `vacating` as the last resort: that with the fewest set-ups open, and how many these are. One that has gone dead or is
     /// about to be reset gets no more, as what it does not answer stays open on it. A server that has no connection left
     /// takes a further one up only to close it, so a connection is not used before the server's first word, which each
     /// begins with.
@@ -125,6 +167,7 @@
         now: Time,
         quiet: Time,
         not_on: Option<ConnectionId>,
+        vacating: Option<ConnectionId>,
     ) -> Option<(ConnectionId, usize)> {
         let spoken = self.by_id.values().any(|c| c.up && c.spoken);
         let usable = self
@@ -133,7 +176,9 @@
             .filter(|(_, c)| c.up && (c.spoken || !spoken) && !c.is_quiet(now, quiet))
             .filter(|(id, _)| Some(**id) != not_on);
         let open = |id: &ConnectionId| setups.get(id).copied().unwrap_or(0);
-        let least = usable.min_by_key(|(id, c)| (open(id), c.asked.is_some(), Reverse(c.last_word)));
+        let least = usable.min_by_key(|(id, c)| {
+            (Some(**id) == vacating, open(id), c.asked.is_some(), Reverse(c.last_word))
+        });
         least.map(|(id, _)| (*id, open(id)))
     }
 
--- a/proxy/src/sip/mod.rs
+++ b/proxy/src/sip/mod.rs
@@ -3,8 +3,10 @@
 mod connections;
 pub mod link;
 mod refusal;
+mod release_refresh;
 mod restart_detector;
 mod sent_releases;
+mod standing_calls;
 pub mod state;
 
 use crate::engine::Setup;
--- a/proxy/src/sip/state.rs
+++ b/proxy/src/sip/state.rs
@@ -3,14 +3,16 @@
 
 use super::connections::{Connection, ConnectionId, Connections, OpenSetups};
 use super::refusal::refusal;
+use super::release_refresh::ReleaseRefresh;
 use super::restart_detector::RestartDetector;
 use super::sent_releases::SentReleases;
+use super::standing_calls::StandingCalls;
 use super::*;
 use crate::engine::{CAUSE_CUT, CAUSE_NORMAL, End, Input, Order};
 use crate::limits::Limits;
 use crate::reasons::Hex;
 use fernspan_core::{Outcome, Report, ServerId, Time};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -66,7 +68,11 @@
     queue: VecDeque<Setup>,
     setups: BTreeMap<CallId, Out>,
     /// Calls that stand at this server.
-    standing: BTreeSet<CallId>,
+    standing: StandingCalls,
+    /// Connections that are opened for releases which may have been lost.
+    refresh: ReleaseRefresh,
+    /// The connection that gets no more set-ups, to make room for one of these, and until when.
+    vacating: Option<(ConnectionId, Time)>,
     /// Releases that wait for a connection.
     releases: Vec<(CallId, u8)>,
     /// Releases that went out and were not acknowledged.
@@ -103,8 +109,10 @@
 impl Link {
     /// The link to a server that has just been listed. `draw` gives numbers from 0 to 1.
     pub fn new(shared: Rc<Shared>, server: ServerId, now: Time, draw: Box<dyn FnMut() -> f64>) -> Self {
+        let sent_releases =
+            SentReleases::new(shared.limits.heard.as_micros() as Time, shared.limits.undelivered);
         let restart = RestartDetector::new(shared.limits.restart_verdict.as_micros() as Time);
-        let sent_releases = SentReleases::new(shared.limits.heard.as_micros() as Time);
+        let refresh = ReleaseRefresh::new(&shared.limits.releases);
         Link {
             shared,
             server,
@@ -114,7 +122,9 @@
             connections: Connections::default(),
             queue: VecDeque::new(),
             setups: BTreeMap::new(),
-            standing: BTreeSet::new(),
+            standing: StandingCalls::default(),
+            refresh,
+            vacating: None,
             releases: Vec::new(),
             sent_releases,
             unacknowledged: VecDeque::new(),
@@ -163,6 +173,7 @@
         held.into_iter()
             .chain(probe)
             .chain(self.connect_due())
+            .chain(self.refresh_due())
             .chain(self.calls_given_up_at())
             .chain(self.restart.due())
             .min()
@@ -235,9 +246,57 @@
         if self.connect_due().is_some_and(|at| at <= now) {
             inputs.extend(self.look_for_life());
         }
+        if self.refresh_due().is_some_and(|at| at <= now) {
+            inputs.extend(self.open_for_releases());
+        }
         inputs
     }
 
+    /// When a connection is opened for releases that may have been lost on another.
+    fn refresh_due(&self) -> Option<Time> {
+        if self.connections.any_connecting() {
+            return None;
+        }
+        let heard_until = self.standing.heard_until(|id| self.connections.get(id).map(|c| c.last_word))?;
+        let due = self.refresh.due(heard_until);
+        let busy = |id: ConnectionId| self.setups.values().any(|o| o.conn == id);
+        match self.vacating {
+            Some((connection, until)) if busy(connection) => Some(due.max(until)),
+            _ => Some(due),
+        }
+    }
+
+    fn open_for_releases(&mut self) -> Vec<Input> {
+        let mut inputs = Vec::new();
+        let setups = self.open_setups();
+        let room = self.connections.least_needed(&setups, |id| self.standing.has_calls(id));
+        if let Some(room) = room.filter(|_| self.is_full()) {
+            if setups.contains_key(&room) && self.vacating.is_none() {
+                let until = self.now + self.shared.limits.releases.vacate_timeout.as_micros() as Time;
+                self.vacating = Some((room, until));
+                return inputs;
+            }
+            inputs.extend(self.lose(room));
+        }
+        self.connect_for(true);
+        inputs
+    }
+
+    /// The server has spoken for the first time on a connection.
+    fn spoken_on(&mut self, newest: ConnectionId) {
+        let Some(connection) = self.connections.get(newest) else { return };
+        let for_releases = connection.for_releases;
+        self.refresh.opened(connection.started);
+        if !for_releases {
+            return;
+        }
+        let interval = self.shared.limits.releases.refresh_interval.as_micros() as Time;
+        let has_calls = |id| self.standing.has_calls(id);
+        for id in self.connections.replaced_by(newest, &self.open_setups(), has_calls, interval) {
+            self.close(id);
+        }
+    }
+
     /// The server is gone, and what stood there with it.
     fn died(&mut self) -> Vec<Input> {
         let mut inputs: Vec<Input> =
@@ -278,17 +337,17 @@
                 Vec::new()
             }
             Order::Release(call, cause) => {
-                self.standing.remove(&call);
+                self.standing.remove(call);
                 self.release(call, cause);
                 Vec::new()
             }
             Order::Adopt(call) => {
-                self.standing.insert(call);
+                self.standing.adopt(call);
                 Vec::new()
             }
             Order::Heard(call) => {
                 // It may have been released by way of another process.
-                self.standing.remove(&call);
+                self.standing.remove(call);
                 let here = |u: &(CallId, u64, Vec<u8>)| u.0 == call;
                 if let Some(position) = self.unacknowledged.iter().position(here)
                     && let Some((_, conn, heard)) = self.unacknowledged.remove(position)
@@ -363,13 +422,13 @@
         let (Some(lines), Some(free)) = (report.lines, report.free) else { return };
         let Some(opened) = self.connections.get(connection).map(|c| c.opened) else { return };
         let after_silence = opened > self.word && self.now > self.word + self.shared.limits.silent;
-        self.restart.told(self.now, lines - free, after_silence, self.standing.iter().copied());
+        self.restart.told(self.now, lines - free, after_silence, self.standing.ids());
     }
 
     /// Calls that were lost as the server's process was replaced.
     fn end_lost_calls(&mut self) -> Vec<Input> {
         let lost = self.restart.take_lost(self.now).into_iter();
-        let lost: Vec<CallId> = lost.filter(|call| self.standing.remove(call)).collect();
+        let lost: Vec<CallId> = lost.filter(|call| self.standing.remove(*call)).collect();
         let over = |id| Input::Over { id, server: self.server, cause: CAUSE_CUT, report: None };
         lost.into_iter().map(over).collect()
     }
@@ -401,7 +460,8 @@
 
     fn release_on(&mut self, conn: u64, call: CallId, cause: u8) {
         self.write(conn, bye(call, cause));
-        self.sent_releases.sent(self.now, conn, call, cause);
+        let last_word = |id| self.connections.get(id).map(|c| c.last_word);
+        self.sent_releases.sent(self.now, conn, call, cause, last_word);
     }
 
     /// Keeps the answer to a release of a call that did not stand here until it is passed on. Without an answer the server
@@ -418,7 +478,13 @@
     /// Not the one on which the call was refused a moment ago: a second copy of that would be taken for the answer.
     fn least_loaded(&self, call: CallId) -> Option<(ConnectionId, usize)> {
         let not_on = self.refused(call).map(|r| r.1);
-        self.connections.least_loaded(&self.open_setups(), self.now, self.shared.limits.quiet, not_on)
+        self.connections.least_loaded(
+            &self.open_setups(),
+            self.now,
+            self.shared.limits.quiet,
+            not_on,
+            self.vacating.map(|v| v.0),
+        )
     }
 
     /// Sends at once where a connection is known to live, else on the next that comes up. Where all have
@@ -494,7 +560,14 @@
     }
 
     fn connect(&mut self) {
-        let connection = self.connections.start();
+        self.connect_for(false);
+    }
+
+    fn connect_for(&mut self, releases: bool) {
+        let connection = self.connections.start(self.now, releases);
+        let part = (self.draw)().clamp(0.0, 1.0);
+        self.refresh.attempted(self.now, part);
+        self.vacating = None;
         self.todo.push(LinkCommand::Connect(connection));
     }
 
@@ -510,8 +583,13 @@
         self.unacknowledged.retain(|u| u.1 != conn);
         // Guards a call that stands for nobody against a release which met a connection that was closed already,
         // whichever side has closed it.
-        for (call, cause) in self.sent_releases.connection_ended(self.now, conn) {
-            self.release(call, cause);
+        self.standing.connection_ended(conn, closed.last_word);
+        for (call, cause) in self.sent_releases.connection_ended(self.now, conn, closed.last_word) {
+            // A later attempt of the call must not be cut.
+            let again = self.setups.get(&call).is_some_and(|o| o.conn != conn);
+            if !again && !self.standing.contains(call) {
+                self.release(call, cause);
+            }
         }
         Some(closed)
     }
@@ -579,6 +657,7 @@
             LinkEvent::Closed => self.lose(conn),
             LinkEvent::Message(message) => {
                 let mut inputs = Vec::new();
+                let first = self.connections.get(conn).is_some_and(|c| !c.spoken);
                 if let Some(c) = self.connections.get_mut(conn) {
                     // A silence worth telling of; after a shorter one nobody has doubts.
                     if !c.spoken || self.now > c.last_word + self.shared.limits.quiet {
@@ -586,6 +665,9 @@
                     }
                     c.heard(self.now);
                 }
+                if first {
+                    self.spoken_on(conn);
+                }
                 self.lives();
                 self.lines_told(&message, conn);
                 self.word = self.now;
@@ -646,7 +728,7 @@
                     };
                     // An answer may still come for one that was open, and nobody waits for it.
                     self.restart.released();
-                    let known = self.standing.remove(&id) | self.setups.remove(&id).is_some();
+                    let known = self.standing.remove(id) | self.setups.remove(&id).is_some();
                     match known {
                         true => self.write(conn, heard),
                         false => self.hear_later(id, conn, heard),
@@ -701,7 +783,7 @@
         self.write(conn, follow_up("ACK", number, call, sequence, ""));
         match out {
             Some(o) if status < 300 => {
-                self.standing.insert(call);
+                self.standing.add(call, conn);
                 let (attempt, payload) = (o.attempt, m.body.into());
                 vec![Input::Stood { id: call, attempt, server: self.server, payload }]
             }
@@ -716,7 +798,7 @@
             //
             // On whichever connection is open: this one may have been closed by this side, as another answer on it
             // could not be read.
-            None if status < 300 && !self.standing.contains(&call) => {
+            None if status < 300 && !self.standing.contains(call) => {
                 self.release(call, CAUSE_NORMAL);
                 Vec::new()
             }
