Give up calls on a dead connection of a server that takes no other one

A draining server refuses connections, so none can bring a release that was written on a connection which has fallen quiet; while it spoke on another, its callers were told up to 12 s after the end. The server tells its state on all of its connections: one that misses what another has had is dead.

A refused connection that was asked for because of releases counts as a look for the server's life, so that it does not put off the end of calls at one that says nothing.

A server that is heard on all connections loses no call.

--- a/proxy/src/sip/connections.rs
+++ b/proxy/src/sip/connections.rs
@@ -24,6 +24,8 @@
     pub spoken: bool,
     /// When the first set-up went out since the last word.
     pub asked: Option<Time>,
+    /// When the server last told its state on it, unless that was its first word, which comes on a new connection alone.
+    pub reported: Option<Time>,
     /// It was opened for releases that may have been lost on another.
     pub for_releases: bool,
 }
@@ -34,8 +36,11 @@
         self.asked.is_some_and(|at| now > at + limit)
     }
 
-    /// Takes note of a message of the server.
-    pub fn heard(&mut self, now: Time) {
+    /// Takes note of a message of the server, which may be the state that it tells on all of its connections.
+    pub fn heard(&mut self, now: Time, is_state: bool) {
+        if is_state && self.spoken {
+            self.reported = Some(now);
+        }
         self.last_word = now;
         self.spoken = true;
         self.asked = None;
@@ -60,6 +65,7 @@
             last_word: 0,
             spoken: false,
             asked: None,
+            reported: None,
             for_releases,
         };
         self.by_id.insert(self.latest, connection);
@@ -122,6 +128,14 @@
         self.by_id.iter().min_by_key(|(id, c)| (setups.contains_key(id), c.last_word)).map(|(id, _)| *id)
     }
 
+    /// Whether the server has told its state on another connection, and not on this one, longer than `limit` after this one's
+    /// last word: it no longer reaches this side here.
+    pub fn is_contradicted(&self, id: ConnectionId, limit: Time) -> bool {
+        let Some(last_word) = self.get(id).map(|c| c.last_word) else { return false };
+        let later = |c: &Connection| c.reported.is_some_and(|at| at > last_word + limit);
+        self.by_id.iter().any(|(other, c)| *other != id && later(c))
+    }
+
     /// Whether each has a set-up open.
     pub fn all_busy(&self, setups: &OpenSetups) -> bool {
         self.by_id.keys().all(|id| setups.contains_key(id))
--- a/proxy/src/sip/mod.rs
+++ b/proxy/src/sip/mod.rs
@@ -68,6 +68,11 @@
         Some(report)
     }
 
+    /// Whether it tells the server's state.
+    pub fn is_state(&self) -> bool {
+        matches!(&self.start, Start::Request { method } if method == "NOTIFY")
+    }
+
     /// Whether its body can be a session description: text without control characters but for its line ends.
     pub fn describes(&self) -> bool {
         let text = std::str::from_utf8(&self.body).unwrap_or_default();
--- a/proxy/src/sip/release_refresh.rs
+++ b/proxy/src/sip/release_refresh.rs
@@ -42,6 +42,11 @@
         (heard_until.max(self.opened) + self.interval).max(self.next_attempt)
     }
 
+    /// Whether a connection has been opened that brings what was lost since `heard_until`.
+    pub fn has_opened_since(&self, heard_until: Time) -> bool {
+        self.opened > heard_until
+    }
+
     /// A connection is asked for now. The wait for it doubles from the third on that does not speak, up to the interval.
     /// `part`, from 0 to 1, is drawn, so that proxies which lost a server at one moment do not all come back at another.
     pub fn attempted(&mut self, now: Time, part: f64) {
--- a/proxy/src/sip/standing_calls.rs
+++ b/proxy/src/sip/standing_calls.rs
@@ -73,6 +73,11 @@
         self.by_connection.contains_key(&connection)
     }
 
+    /// The calls that were set up on this connection.
+    pub fn calls_on(&self, connection: ConnectionId) -> Vec<CallId> {
+        self.calls.iter().filter(|(_, of_call)| **of_call == Some(connection)).map(|(id, _)| *id).collect()
+    }
+
     /// A connection has ended, on which the last word came at `last_word`. Its calls outlive it, and the server may not know
     /// of its end.
     pub fn connection_ended(&mut self, connection: ConnectionId, last_word: Time) {
--- a/proxy/src/sip/state.rs
+++ b/proxy/src/sip/state.rs
@@ -176,6 +176,7 @@
             .chain(self.refresh_due())
             .chain(self.calls_given_up_at())
             .chain(self.restart.due())
+            .chain(self.unheard_connection().map(|c| c.1))
             .min()
     }
 
@@ -243,6 +244,9 @@
                 inputs.extend(self.died());
             }
         }
+        if let Some((connection, _)) = self.unheard_connection().filter(|c| c.1 <= now) {
+            inputs.extend(self.give_up_calls_on(connection));
+        }
         if self.connect_due().is_some_and(|at| at <= now) {
             inputs.extend(self.look_for_life());
         }
@@ -266,6 +270,35 @@
         }
     }
 
+    /// A connection that the server's words no longer reach, with calls on it, and when these are given up: the server takes no
+    /// further connection on which it could release them, and what is over has to be told in time.
+    fn unheard_connection(&self) -> Option<(ConnectionId, Time)> {
+        let limits = &self.shared.limits;
+        let unheard = |id: ConnectionId| {
+            let last_word = self.connections.get(id)?.last_word;
+            let lost = self.standing.has_calls(id)
+                && self.connections.is_contradicted(id, limits.quiet)
+                && !self.refresh.has_opened_since(last_word);
+            lost.then_some((id, last_word + limits.mute))
+        };
+        self.connections.ids().into_iter().filter_map(unheard).min_by_key(|c| c.1)
+    }
+
+    /// The calls of a connection may be over or stand, and this side cannot hear of it any more: they are released at the server
+    /// and are over for their callers.
+    fn give_up_calls_on(&mut self, connection: ConnectionId) -> Vec<Input> {
+        let calls = self.standing.calls_on(connection);
+        for call in &calls {
+            self.standing.remove(*call);
+            self.release(*call, CAUSE_CUT);
+        }
+        calls.into_iter().map(|id| self.cut(id)).collect()
+    }
+
+    fn cut(&self, id: CallId) -> Input {
+        Input::Over { id, server: self.server, cause: CAUSE_CUT, report: None }
+    }
+
     fn open_for_releases(&mut self) -> Vec<Input> {
         let mut inputs = Vec::new();
         let setups = self.open_setups();
@@ -417,8 +450,7 @@
     /// Takes note of the lines in use that a server states. One that speaks again on a new connection, with hardly a line in
     /// use, may have lost the calls that stood there, whose callers would else wait for the list to say so.
     fn lines_told(&mut self, message: &Message, connection: ConnectionId) {
-        let Start::Request { method } = &message.start else { return };
-        let Some(report) = message.report().filter(|_| method == "NOTIFY") else { return };
+        let Some(report) = message.report().filter(|_| message.is_state()) else { return };
         let (Some(lines), Some(free)) = (report.lines, report.free) else { return };
         let Some(opened) = self.connections.get(connection).map(|c| c.opened) else { return };
         let after_silence = opened > self.word && self.now > self.word + self.shared.limits.silent;
@@ -429,8 +461,7 @@
     fn end_lost_calls(&mut self) -> Vec<Input> {
         let lost = self.restart.take_lost(self.now).into_iter();
         let lost: Vec<CallId> = lost.filter(|call| self.standing.remove(*call)).collect();
-        let over = |id| Input::Over { id, server: self.server, cause: CAUSE_CUT, report: None };
-        lost.into_iter().map(over).collect()
+        lost.into_iter().map(|id| self.cut(id)).collect()
     }
 
     /// A wait before the server is connected to again. Guards a site that is lost, and the path to it, against
@@ -568,6 +599,8 @@
         let part = (self.draw)().clamp(0.0, 1.0);
         self.refresh.attempted(self.now, part);
         self.vacating = None;
+        // What its refusal says of a server without a word counts as that of a look for its life.
+        self.looking |= releases;
         self.todo.push(LinkCommand::Connect(connection));
     }
 
@@ -663,7 +696,7 @@
                     if !c.spoken || self.now > c.last_word + self.shared.limits.quiet {
                         inputs.push(Input::Spoke { server: self.server, fresh: !c.spoken });
                     }
-                    c.heard(self.now);
+                    c.heard(self.now, message.is_state());
                 }
                 if first {
                     self.spoken_on(conn);
--- a/proxy/tests/link_model/mod.rs
+++ b/proxy/tests/link_model/mod.rs
@@ -176,6 +176,11 @@
         }
     }
 
+    /// How many calls this side has released.
+    pub fn cut(&self) -> usize {
+        self.calls.values().filter(|call| call.cut).count()
+    }
+
     /// Calls of which the proxy was told too late or not that the server has ended them, or that were over before that.
     pub fn broken(&self, within: u64) -> Vec<String> {
         let mut broken = Vec::new();
--- a/proxy/tests/quiet_connections.rs
+++ b/proxy/tests/quiet_connections.rs
@@ -3,6 +3,7 @@
 
 mod link_model;
 
+use fernspan::engine::Order;
 use link_model::{Lost, MS, S, World};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -69,6 +70,43 @@
     assert_eq!(world.broken(RELEASED_WITHIN), Vec::<String>::new());
 }
 
+/// Two connections with calls on each, and the server takes no further one, as when it drains; gives its world.
+fn draining() -> World {
+    let mut world = World::new(Duration::from_millis(500));
+    world.run(S);
+    for id in 1..9 {
+        world.set_up(id, PATIENCE, 3 * S + id * 700 * MS);
+    }
+    world.run(S / 5);
+    traffic(&mut world, 20, 10, 100 * MS, 4 * S);
+    assert!(world.connections().len() > 1, "{:?}", world.connects);
+    world.accepts = false;
+    world.order(Order::Drain);
+    world
+}
+
+/// A draining server refuses connections, and one of those that it has falls quiet while it speaks on another. Guards the callers of
+/// the calls there against never being told: nothing can bring their releases.
+#[test]
+fn calls_on_a_quiet_connection_of_a_server_that_refuses_others_are_given_up() {
+    for lost in [Lost::FromServer, Lost::Both] {
+        let mut world = draining();
+        let first = world.connections()[0];
+        world.fall_quiet(first, lost);
+        world.run(20 * S);
+        assert_eq!(world.broken(RELEASED_WITHIN), Vec::<String>::new(), "{lost:?}");
+    }
+}
+
+/// Guards calls that stand against being given up where the server only refuses connections, and is heard on all that it has.
+#[test]
+fn calls_at_a_server_that_refuses_connections_stand() {
+    let mut world = draining();
+    world.run(30 * S);
+    assert_eq!(world.broken(RELEASED_WITHIN), Vec::<String>::new());
+    assert_eq!(world.cut(), 0);
+}
+
 /// Guards a server with few connections left against proxies that open one after the other: while calls stand on a quiet
 /// connection one in some 5 s, and none while all are heard.
 #[test]
