--- a/proxy/src/sip/connections.rs
+++ b/proxy/src/sip/connections.rs
@@ -36,6 +36,13 @@
         self.asked.is_some_and(|at| now > at + limit)
     }
 
+    /// Takes note that it has come up.
+    pub fn came_up(&mut self, now: Time) {
+        self.up = true;
+        self.opened = now;
+        self.last_word = now;
+    }
+
     /// Takes note of a message of the server, which may be the state that it tells on all of its connections.
     pub fn heard(&mut self, now: Time, is_state: bool) {
         if is_state && self.spoken {
--- a/proxy/src/sip/state.rs
+++ b/proxy/src/sip/state.rs
@@ -16,6 +16,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+mod liveness;
+mod messages;
+mod releases;
+
 /// What a connection tells its link. Each ends with one `Failed` or `Closed`, also one that the link closed.
 pub enum LinkEvent {
     Up,
@@ -180,19 +184,6 @@
             .min()
     }
 
-    /// When what stands here is given up for want of any sign of life. Its end may be as long ago as the last one, and its
-    /// caller is told in time from then: nothing that happens meanwhile moves this later, but a standstill of this
-    /// process, in which it heard nobody.
-    fn calls_given_up_at(&self) -> Option<Time> {
-        let due = self.heard + self.shared.limits.mute;
-        Some(due.max(self.hears_from)).filter(|_| !self.standing.is_empty())
-    }
-
-    /// Whether there are as many connections as there may be, with a set-up open on each.
-    fn is_full_and_busy(&self) -> bool {
-        self.is_full() && self.connections.all_busy(&self.open_setups())
-    }
-
     /// Whether there are as many connections as there may be.
     fn is_full(&self) -> bool {
         self.connections.len() >= self.shared.limits.server_conns
@@ -205,27 +196,6 @@
         open
     }
 
-    /// When to connect: after a loss, or to see whether a silent server lives.
-    fn connect_due(&self) -> Option<Time> {
-        if self.connections.any_connecting() {
-            return None;
-        }
-        // Guards against a machine that has vanished with its calls: nobody else tells of it in time, and
-        // its connections stay open and silent.
-        let limits = &self.shared.limits;
-        let (silent, mute) = (self.heard + limits.silent, self.word + limits.mute);
-        let silent = if self.heard < mute { silent.min(mute) } else { silent };
-        // Set-ups that are open everywhere end by their own deadlines first, unless these are too late.
-        let silent = match self.is_full_and_busy() {
-            true => silent.max(self.heard + limits.forced_look),
-            false => silent,
-        };
-        let silent = Some(silent).filter(|_| !self.standing.is_empty());
-        // Guards against a look at a silent server that fails at once and is taken again at once: after a
-        // failure the next one is due at its own time, however long the silence.
-        self.connect_at.or(silent)
-    }
-
     /// Does what is due.
     pub fn handle_timeout(&mut self, now: Time) -> Vec<Input> {
         self.now = now;
@@ -256,106 +226,6 @@
         inputs
     }
 
-    /// When a connection is opened for releases that may have been lost on another.
-    fn refresh_due(&self) -> Option<Time> {
-        if self.connections.any_connecting() {
-            return None;
-        }
-        let heard_until = self.standing.heard_until(|id| self.connections.get(id).map(|c| c.last_word))?;
-        let due = self.refresh.due(heard_until);
-        let busy = |id: ConnectionId| self.setups.values().any(|o| o.conn == id);
-        match self.vacating {
-            Some((connection, until)) if busy(connection) => Some(due.max(until)),
-            _ => Some(due),
-        }
-    }
-
-    /// A connection that the server's words no longer reach, with calls on it, and when these are given up: the server takes no
-    /// further connection on which it could release them, and what is over has to be told in time.
-    fn unheard_connection(&self) -> Option<(ConnectionId, Time)> {
-        let limits = &self.shared.limits;
-        let unheard = |id: ConnectionId| {
-            let last_word = self.connections.get(id)?.last_word;
-            let lost = self.standing.has_calls(id)
-                && self.connections.is_contradicted(id, limits.quiet)
-                && !self.refresh.has_opened_since(last_word);
-            lost.then_some((id, last_word + limits.mute))
-        };
-        self.connections.ids().into_iter().filter_map(unheard).min_by_key(|c| c.1)
-    }
-
-    /// The calls of a connection may be over or stand, and this side cannot hear of it any more: they are released at the server
-    /// and are over for their callers.
-    fn give_up_calls_on(&mut self, connection: ConnectionId) -> Vec<Input> {
-        let calls = self.standing.calls_on(connection);
-        for call in &calls {
-            self.standing.remove(*call);
-            self.release(*call, CAUSE_CUT);
-        }
-        calls.into_iter().map(|id| self.cut(id)).collect()
-    }
-
-    fn cut(&self, id: CallId) -> Input {
-        Input::Over { id, server: self.server, cause: CAUSE_CUT, report: None }
-    }
-
-    fn open_for_releases(&mut self) -> Vec<Input> {
-        let mut inputs = Vec::new();
-        let setups = self.open_setups();
-        let room = self.connections.least_needed(&setups, |id| self.standing.has_calls(id));
-        if let Some(room) = room.filter(|_| self.is_full()) {
-            if setups.contains_key(&room) && self.vacating.is_none() {
-                let until = self.now + self.shared.limits.releases.vacate_timeout.as_micros() as Time;
-                self.vacating = Some((room, until));
-                return inputs;
-            }
-            inputs.extend(self.lose(room));
-        }
-        self.connect_for(true);
-        inputs
-    }
-
-    /// The server has spoken for the first time on a connection.
-    fn spoken_on(&mut self, newest: ConnectionId) {
-        let Some(connection) = self.connections.get(newest) else { return };
-        let for_releases = connection.for_releases;
-        self.refresh.opened(connection.started);
-        if !for_releases {
-            return;
-        }
-        let interval = self.shared.limits.releases.refresh_interval.as_micros() as Time;
-        let has_calls = |id| self.standing.has_calls(id);
-        for id in self.connections.replaced_by(newest, &self.open_setups(), has_calls, interval) {
-            self.close(id);
-        }
-    }
-
-    /// The server is gone, and what stood there with it.
-    fn died(&mut self) -> Vec<Input> {
-        let mut inputs: Vec<Input> =
-            self.connections.ids().into_iter().flat_map(|conn| self.lose(conn)).collect();
-        self.standing.clear();
-        self.restart.clear();
-        self.connect_at = Some(self.again());
-        inputs.push(Input::Died(self.server));
-        inputs
-    }
-
-    fn look_for_life(&mut self) -> Vec<Input> {
-        self.connect_at = None;
-        let limits = &self.shared.limits;
-        let silent = self.now >= (self.heard + limits.silent).min(self.word + limits.mute);
-        self.looking = silent && !self.standing.is_empty();
-        let mut inputs = Vec::new();
-        if self.is_full()
-            && let Some(conn) = self.connections.longest_unheard(&self.open_setups())
-        {
-            inputs.extend(self.lose(conn));
-        }
-        self.connect();
-        inputs
-    }
-
     /// Takes an order of the core.
     pub fn handle_order(&mut self, now: Time, order: Order) -> Vec<Input> {
         self.now = now;
@@ -424,86 +294,6 @@
         Input::Probed { server: self.server, passed, report }
     }
 
-    /// Looks at a server whose site is lost now and then, and once the site speaks again soon: whether that one
-    /// does too, only a connection shows.
-    fn rest(&mut self, rest: bool) {
-        // With calls standing there it has to be known soon whether they are gone.
-        let soon = !rest || !self.standing.is_empty();
-        let mean = if soon { self.shared.limits.awake } else { self.shared.limits.resting };
-        let speaks = !rest && self.now <= self.heard + self.shared.limits.quiet;
-        if self.resting != rest && !self.connections.any_connecting() {
-            let at = self.now + self.drawn(mean);
-            let at = self.connect_at.filter(|_| !rest).map_or(at, |before| before.min(at));
-            self.connect_at = Some(at).filter(|_| !speaks || self.connections.is_empty());
-        }
-        self.resting = rest;
-    }
-
-    /// When calls at a server that cannot be reached since a time are taken to be gone. Where the lines in use will
-    /// tell, once it speaks again, whether it has started anew, that is as late as the protocol allows.
-    fn gone_from(&self, since: Time) -> Time {
-        let limits = &self.shared.limits;
-        let by_silence = if self.restart.is_telling() { self.word + limits.gone } else { 0 };
-        by_silence.max(since + limits.vanished)
-    }
-
-    /// Takes note of the lines in use that a server states. One that speaks again on a new connection, with hardly a line in
-    /// use, may have lost the calls that stood there, whose callers would else wait for the list to say so.
-    fn lines_told(&mut self, message: &Message, connection: ConnectionId) {
-        let Some(report) = message.report().filter(|_| message.is_state()) else { return };
-        let (Some(lines), Some(free)) = (report.lines, report.free) else { return };
-        let Some(opened) = self.connections.get(connection).map(|c| c.opened) else { return };
-        let after_silence = opened > self.word && self.now > self.word + self.shared.limits.silent;
-        self.restart.told(self.now, lines - free, after_silence, self.standing.ids());
-    }
-
-    /// Calls that were lost as the server's process was replaced.
-    fn end_lost_calls(&mut self) -> Vec<Input> {
-        let lost = self.restart.take_lost(self.now).into_iter();
-        let lost: Vec<CallId> = lost.filter(|call| self.standing.remove(*call)).collect();
-        lost.into_iter().map(|id| self.cut(id)).collect()
-    }
-
-    /// A wait before the server is connected to again. Guards a site that is lost, and the path to it, against
-    /// hundreds of proxies that each connect to all of its servers once a second.
-    fn again(&mut self) -> Time {
-        let shared = self.shared.clone();
-        let limits = &shared.limits;
-        match (self.resting, self.unreached.filter(|_| !self.standing.is_empty())) {
-            (false, _) => self.now + self.drawn(limits.reconnect),
-            // What stands there is gone if the next connect fails as well, and that has to be late enough.
-            (true, Some(since)) => {
-                let late = self.gone_from(since).saturating_sub(limits.connect.as_micros() as Time);
-                self.now.max(late) + self.drawn(limits.awake)
-            }
-            (true, None) => self.now + self.drawn(limits.resting),
-        }
-    }
-
-    /// Guards against a call that stands for ever at a server that cannot be reached now: its release goes out
-    /// with the next connection.
-    fn release(&mut self, call: CallId, cause: u8) {
-        match self.connections.last_heard() {
-            Some(conn) => self.release_on(conn, call, cause),
-            None => self.releases.push((call, cause)),
-        }
-    }
-
-    fn release_on(&mut self, conn: u64, call: CallId, cause: u8) {
-        self.write(conn, bye(call, cause));
-        let last_word = |id| self.connections.get(id).map(|c| c.last_word);
-        self.sent_releases.sent(self.now, conn, call, cause, last_word);
-    }
-
-    /// Keeps the answer to a release of a call that did not stand here until it is passed on. Without an answer the server
-    /// says it again on its next connection, which may be that of the process at which the call stood.
-    fn hear_later(&mut self, call: CallId, conn: u64, heard: Vec<u8>) {
-        if self.unacknowledged.len() >= self.shared.limits.undelivered {
-            self.unacknowledged.pop_front();
-        }
-        self.unacknowledged.push_back((call, conn, heard));
-    }
-
     /// The connection for a set-up of a call, and how many are open there.
     ///
     /// Not the one on which the call was refused a moment ago: a second copy of that would be taken for the answer.
@@ -594,16 +384,6 @@
         self.connect_for(false);
     }
 
-    fn connect_for(&mut self, releases: bool) {
-        let connection = self.connections.start(self.now, releases);
-        let part = (self.draw)().clamp(0.0, 1.0);
-        self.refresh.attempted(self.now, part);
-        self.vacating = None;
-        // What its refusal says of a server without a word counts as that of a look for its life.
-        self.looking |= releases;
-        self.todo.push(LinkCommand::Connect(connection));
-    }
-
     fn write(&mut self, conn: u64, bytes: Vec<u8>) {
         if self.connections.contains(conn) {
             self.todo.push(LinkCommand::Write(conn, bytes, None));
@@ -639,85 +419,50 @@
     }
 
     /// Takes what a connection tells.
-    pub fn handle_event(&mut self, now: Time, conn: u64, told: LinkEvent) -> Vec<Input> {
+    pub fn handle_event(&mut self, now: Time, conn: u64, event: LinkEvent) -> Vec<Input> {
         self.now = now;
-        match told {
-            LinkEvent::Up => {
-                let Some(c) = self.connections.get_mut(conn) else { return Vec::new() };
-                c.up = true;
-                self.looking = false;
-                c.opened = self.now;
-                c.last_word = c.opened;
-                self.lives();
-                self.retire(conn);
-                for (call, cause) in std::mem::take(&mut self.releases) {
-                    self.release_on(conn, call, cause);
-                }
-                let queue = match self.draining {
-                    true => return self.fail_queue(Outcome::NotSent),
-                    false => std::mem::take(&mut self.queue),
-                };
-                queue.into_iter().flat_map(|s| self.send(conn, s)).collect()
-            }
-            LinkEvent::Failed { refused } => {
-                let mut inputs = self.lose(conn);
-                let looked = std::mem::take(&mut self.looking);
-                if !self.connections.any_connecting() {
-                    inputs.extend(self.fail_queue(Outcome::NoRoute));
-                }
-                let now = self.now;
-                // Guards the calls that stand at a server that drains or has no connection left: one that
-                // refuses while those it has stay open lives, as a process that dies resets them.
-                let open = self.connections.any_up();
-                // Unless these have gone dead: with calls standing there, a server has a word now and then. Guards
-                // their callers against a machine that is gone, but whose end no reset has told.
-                let dead = !open || looked && now >= self.word + self.shared.limits.mute;
-                if refused && !dead {
-                    self.lives();
-                    self.spare();
-                    return inputs;
-                }
-                let since = *self.unreached.get_or_insert(now);
-                self.connect_at = Some(self.again());
-                // Nobody listens any more, or nothing comes through: the process is gone, and what stood
-                // there with it.
-                let dead = refused && (self.connections.is_empty() || open);
-                if dead || now >= self.gone_from(since) {
-                    inputs.extend(self.died());
-                }
-                inputs
-            }
+        match event {
+            LinkEvent::Up => self.connection_up(conn),
+            LinkEvent::Failed { refused } => self.connection_failed(conn, refused),
             LinkEvent::Closed => self.lose(conn),
-            LinkEvent::Message(message) => {
-                let mut inputs = Vec::new();
-                let first = self.connections.get(conn).is_some_and(|c| !c.spoken);
-                if let Some(c) = self.connections.get_mut(conn) {
-                    // A silence worth telling of; after a shorter one nobody has doubts.
-                    if !c.spoken || self.now > c.last_word + self.shared.limits.quiet {
-                        inputs.push(Input::Spoke { server: self.server, fresh: !c.spoken });
-                    }
-                    c.heard(self.now, message.is_state());
-                }
-                if first {
-                    self.spoken_on(conn);
-                }
-                self.lives();
-                self.lines_told(&message, conn);
-                self.word = self.now;
-                inputs.extend(self.message(conn, message));
-                inputs
-            }
+            LinkEvent::Message(message) => self.message_came(conn, message),
         }
     }
 
-    /// Guards a server's few connections against hundreds of proxies that each ask for more, again and again.
-    fn spare(&mut self) {
-        self.more_at = self.now + self.drawn(self.shared.limits.sparing);
+    fn connection_up(&mut self, conn: ConnectionId) -> Vec<Input> {
+        let Some(connection) = self.connections.get_mut(conn) else { return Vec::new() };
+        connection.came_up(self.now);
+        self.looking = false;
+        self.lives();
+        self.retire(conn);
+        for (call, cause) in std::mem::take(&mut self.releases) {
+            self.release_on(conn, call, cause);
+        }
+        if self.draining {
+            return self.fail_queue(Outcome::NotSent);
+        }
+        let queue = std::mem::take(&mut self.queue);
+        queue.into_iter().flat_map(|setup| self.send(conn, setup)).collect()
     }
 
-    fn lives(&mut self) {
-        self.heard = self.now;
-        self.unreached = None;
+    fn message_came(&mut self, conn: ConnectionId, message: Message) -> Vec<Input> {
+        let mut inputs = Vec::new();
+        if let Some(connection) = self.connections.get_mut(conn) {
+            let first = !connection.spoken;
+            // A silence worth telling of; after a shorter one nobody has doubts.
+            if first || self.now > connection.last_word + self.shared.limits.quiet {
+                inputs.push(Input::Spoke { server: self.server, fresh: first });
+            }
+            connection.heard(self.now, message.is_state());
+            if first {
+                self.first_word_came(conn);
+            }
+        }
+        self.lives();
+        self.lines_told(&message, conn);
+        self.word = self.now;
+        inputs.extend(self.message(conn, message));
+        inputs
     }
 
     /// Closes older connections that have gone quiet with nothing open, once a new one is up.
@@ -749,93 +494,4 @@
             .map(|(id, o)| self.ended(id, o.attempt, End::plain(Outcome::Reset)))
             .collect()
     }
-
-    fn message(&mut self, conn: u64, m: Message) -> Vec<Input> {
-        match &m.start {
-            Start::Request { method } => match method.as_str() {
-                "BYE" => {
-                    let heard = m.response("200 OK");
-                    let Some(id) = m.call() else {
-                        self.write(conn, heard);
-                        return Vec::new();
-                    };
-                    // An answer may still come for one that was open, and nobody waits for it.
-                    self.restart.released();
-                    let known = self.standing.remove(id) | self.setups.remove(&id).is_some();
-                    match known {
-                        true => self.write(conn, heard),
-                        false => self.hear_later(id, conn, heard),
-                    }
-                    let cause = m.cause().unwrap_or(CAUSE_NORMAL);
-                    vec![Input::Over { id, server: self.server, cause, report: m.report() }]
-                }
-                "NOTIFY" => m.report().map(|r| Input::Room(self.server, r)).into_iter().collect(),
-                "OPTIONS" => {
-                    self.write(conn, m.response("200 OK"));
-                    Vec::new()
-                }
-                _ => Vec::new(),
-            },
-            Start::Response { status } => {
-                let status = *status;
-                let Some(call) = m.call().filter(|_| status >= 200) else { return Vec::new() };
-                match m.sequence() {
-                    Some((sequence, "INVITE")) => self.answered(conn, call, sequence, status, m),
-                    // One that comes late, twice or on another connection finds no probe, and is no report.
-                    Some((_, "OPTIONS")) => {
-                        let answered = self.probe.take_if(|p| p.conn == conn && p.id == call);
-                        answered.map(|_| self.probed(status < 300, m.report())).into_iter().collect()
-                    }
-                    Some((_, "BYE")) => {
-                        self.sent_releases.acknowledged(call);
-                        Vec::new()
-                    }
-                    _ => Vec::new(),
-                }
-            }
-        }
-    }
-
-    /// A final response to an `INVITE`. Whoever it is for, it gets its `ACK`.
-    ///
-    /// It is matched by call and connection. Guards against taking all answers but the first attempt's for late
-    /// ones: servers answer with `CSeq: 1 INVITE` whatever number was asked. Any other number has to fit.
-    fn answered(&mut self, conn: u64, call: CallId, sequence: u32, status: u16, m: Message) -> Vec<Input> {
-        let fits = |o: &Out| o.conn == conn && (sequence == 1 || sequence == o.attempt + 1);
-        let known = self.setups.get(&call).is_some_and(fits);
-        // Guards the caller against a description that is noise, and the other set-ups against the connection,
-        // which can't be trusted any more. The call may stand there, so it is released.
-        if known && status < 300 && !m.describes() {
-            tracing::warn!(server = self.server, call = %Hex(call), "an answer without a description");
-            let inputs = self.lose(conn);
-            self.release(call, CAUSE_NORMAL);
-            return inputs;
-        }
-        let out = if known { self.setups.remove(&call) } else { None };
-        let number = out.as_ref().map_or("unknown", |o| &o.number);
-        self.write(conn, follow_up("ACK", number, call, sequence, ""));
-        match out {
-            Some(o) if status < 300 => {
-                self.standing.add(call, conn);
-                let (attempt, payload) = (o.attempt, m.body.into());
-                vec![Input::Stood { id: call, attempt, server: self.server, payload }]
-            }
-            Some(o) => {
-                let (now, copy) = (self.now, self.shared.limits.copy);
-                self.refused.retain(|r| now < r.2 + copy);
-                self.refused.push_back((call, conn, now));
-                vec![self.ended(call, o.attempt, refusal(status, &m, self.shared.gives_wait))]
-            }
-            // Guards against an answer that crossed its CANCEL: nobody waits for this call here. A second copy
-            // of the answer that stands must not end it.
-            //
-            // On whichever connection is open: this one may have been closed by this side, as another answer on it
-            // could not be read.
-            None if status < 300 && !self.standing.contains(call) => {
-                self.release(call, CAUSE_NORMAL);
-                Vec::new()
-            }
-            None => Vec::new(),
-        }
-    }
 }
