Give no call up for a silence in which nothing stood at its server

A call that stands was told as over as it was taken over from another process: its server had had nothing to say for 7.2 to 7.5 s, as no call stood there for this process, and that silence was counted.

Failed before: a_call_that_is_adopted_at_an_idle_server_stands (after 6.6 s of it).

--- a/proxy/src/sip/state.rs
+++ b/proxy/src/sip/state.rs
@@ -96,8 +96,9 @@
     more_at: Time,
     /// When the server last gave any sign of life: a word, a connection that came up, or a refusal of one.
     heard: Time,
-    /// This process stood still, and hears again what has come from then on.
-    hears_from: Time,
+    /// What stands is not given up for a silence before: this process stood still, or a call has been taken over at a server
+    /// that had nothing to say.
+    not_given_up_before: Time,
     /// Since when it cannot be reached.
     unreached: Option<Time>,
     /// When the server last said something.
@@ -139,7 +140,7 @@
             connect_at: Some(now),
             more_at: 0,
             heard: now,
-            hears_from: 0,
+            not_given_up_before: 0,
             unreached: None,
             word: now,
             restart,
@@ -209,7 +210,7 @@
         inputs.extend(self.end_lost_calls());
         if let Some(due) = self.calls_given_up_at().filter(|at| *at <= now) {
             if now > due + self.shared.limits.stall {
-                self.hears_from = now + self.shared.limits.stall;
+                self.not_given_up_before = now + self.shared.limits.stall;
             } else {
                 inputs.extend(self.died());
             }
@@ -245,6 +246,11 @@
                 Vec::new()
             }
             Order::Adopt(call) => {
+                if self.standing.is_empty() {
+                    // A silence in which nothing stood there says nothing.
+                    let silent = self.shared.limits.silent;
+                    self.not_given_up_before = self.not_given_up_before.max(now + silent);
+                }
                 self.standing.adopt(call);
                 Vec::new()
             }
--- a/proxy/src/sip/state/liveness.rs
+++ b/proxy/src/sip/state/liveness.rs
@@ -9,7 +9,7 @@
     /// process, in which it heard nobody.
     pub(super) fn calls_given_up_at(&self) -> Option<Time> {
         let due = self.heard + self.shared.limits.mute;
-        Some(due.max(self.hears_from)).filter(|_| !self.standing.is_empty())
+        Some(due.max(self.not_given_up_before)).filter(|_| !self.standing.is_empty())
     }
 
     /// Whether there are as many connections as there may be, with a set-up open on each.
--- a/proxy/tests/quiet_connections.rs
+++ b/proxy/tests/quiet_connections.rs
@@ -70,6 +70,22 @@
     assert_eq!(world.broken(RELEASED_WITHIN), Vec::<String>::new());
 }
 
+/// A call is taken over from another process at a server that had nothing to say for as long as calls are given up after. Guards it
+/// against being given up for a silence in which nothing stood there.
+#[test]
+fn a_call_that_is_adopted_at_an_idle_server_stands() {
+    for idle in (60..100).map(|tenths| tenths * S / 10) {
+        let mut world = World::new(Duration::from_millis(500));
+        world.run(S);
+        traffic(&mut world, 1, 1, 0, S);
+        world.run(2 * S);
+        world.run(idle);
+        world.adopt(10, 5 * S);
+        world.run(15 * S);
+        assert_eq!(world.broken(RELEASED_WITHIN), Vec::<String>::new(), "after {} ms", idle / MS);
+    }
+}
+
 /// Two connections with calls on each, and the server takes no further one, as when it drains; gives its world.
 fn draining() -> World {
     let mut world = World::new(Duration::from_millis(500));
